--- a/benches/hop_cost.rs
+++ b/benches/hop_cost.rs
@@ -6,8 +6,8 @@
 //! with `cargo bench --bench hop_cost`; docs/hop-cost.md explains the figures.
 
 use hdrhistogram::Histogram;
-use ibiscove_platform::MemoryPlatform;
 use ibiscove_standin::{Upstream, UpstreamSettings};
+use ibiscove_store::MemoryPlatform;
 use std::error::Error;
 use std::io::{BufRead, BufReader};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
--- a/crates/bench/src/counting.rs
+++ b/crates/bench/src/counting.rs
@@ -1,6 +1,6 @@
 //! A platform that counts what is asked of it.
 
-use ibiscove_platform::{Commit, Objects, RawRow, Table, TableError, Transaction};
+use ibiscove_store::{Commit, Objects, RawRow, Table, TableError, Transaction};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
--- a/crates/bench/src/losses.rs
+++ b/crates/bench/src/losses.rs
@@ -4,8 +4,8 @@
 use crate::BenchError;
 use crate::cluster::{Cluster, Pair};
 use ibiscove_node::{NodeSettings, ServiceDefaults};
-use ibiscove_platform::MemoryPlatform;
 use ibiscove_standin::{FaultyPlatform, UpstreamSettings};
+use ibiscove_store::MemoryPlatform;
 use ibiscove_types::{Incarnation, ServiceKind, Slot, hash};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
--- a/crates/bench/src/slopes/requests.rs
+++ b/crates/bench/src/slopes/requests.rs
@@ -9,8 +9,8 @@
 use crate::cluster::{Cluster, http_client};
 use crate::usage::cpu_time;
 use ibiscove_node::NodeSettings;
-use ibiscove_platform::MemoryPlatform;
 use ibiscove_standin::UpstreamSettings;
+use ibiscove_store::MemoryPlatform;
 use std::net::SocketAddr;
 use trillium_client::Client;
 
--- a/crates/config/examples/inventory_size.rs
+++ b/crates/config/examples/inventory_size.rs
@@ -7,7 +7,7 @@
 use ibiscove_config::import::import;
 use ibiscove_config::store::{ConfigStore, Known};
 use ibiscove_config::{Inventory, check_inventory, diff};
-use ibiscove_platform::MemoryPlatform;
+use ibiscove_store::MemoryPlatform;
 use ibiscove_types::SystemClock;
 use std::fmt::Write;
 use std::time::Instant;
--- a/crates/config/src/store.rs
+++ b/crates/config/src/store.rs
@@ -15,7 +15,7 @@
     ChangeAnswer, ChangeRequest, ConfigKind, MAX_BODY, VersionBody, VersionInfo, digest,
 };
 use crate::{Change, Finding, Inventory, Rules, check_inventory, check_rules, diff, find_harms};
-use ibiscove_platform::{Commit, Objects, RawRow, Table, TableError, Transaction};
+use ibiscove_store::{Commit, Objects, RawRow, Table, TableError, Transaction};
 use ibiscove_types::rows::config_key;
 use ibiscove_types::{Clock, ConfigRow, Map, RowVersion};
 use object::Object;
--- a/crates/config/src/store/object.rs
+++ b/crates/config/src/store/object.rs
@@ -2,7 +2,7 @@
 
 use super::StoreError;
 use crate::change::{ConfigKind, VersionBody, VersionInfo, change_id, digest};
-use ibiscove_platform::{Objects, TableError};
+use ibiscove_store::{Objects, TableError};
 use serde::{Deserialize, Serialize};
 
 /// A text, and the object of the version before it.
--- a/crates/config/tests/store.rs
+++ b/crates/config/tests/store.rs
@@ -2,9 +2,9 @@
 
 use ibiscove_config::change::{ChangeAnswer, ChangeRequest, ConfigKind, digest};
 use ibiscove_config::store::{ConfigStore, Known, MAX_ROW_BODY, StoreError, Written};
-use ibiscove_platform::http::{HttpPlatform, HttpSettings};
-use ibiscove_platform::{Commit, MemoryPlatform, Objects, RawRow, Table, TableError, Transaction};
 use ibiscove_standin::FaultyPlatform;
+use ibiscove_store::http::{HttpPlatform, HttpSettings};
+use ibiscove_store::{Commit, MemoryPlatform, Objects, RawRow, Table, TableError, Transaction};
 use ibiscove_types::rows::{ServiceRow, config_key, service_key};
 use ibiscove_types::{Clock, Map, ServiceKind};
 use std::time::{Duration, Instant, SystemTime};
--- /dev/null
+++ b/crates/http/src/body.rs
@@ -0,0 +1,139 @@
+//! Bodies, whole in memory or streamed from another connection.
+
+use bytes::Bytes;
+use http_body::{Body as HttpBody, Frame, SizeHint};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use std::collections::VecDeque;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+/// A body that is sent: chunks already read, then perhaps the rest of a body
+/// that is still arriving, kept together with the `guard` that it needs.
+pub struct Body<G = ()> {
+    chunks: VecDeque<Bytes>,
+    rest: Option<(Incoming, G)>,
+}
+
+impl<G> Body<G> {
+    /// A body that is whole in memory.
+    pub fn whole(bytes: impl Into<Bytes>) -> Self {
+        let bytes = bytes.into();
+        let chunks = match bytes.is_empty() {
+            true => VecDeque::new(),
+            false => VecDeque::from([bytes]),
+        };
+        Self { chunks, rest: None }
+    }
+
+    /// Chunks that were read, and the rest that follows them. The guard lives
+    /// until the rest has been sent.
+    pub fn streamed(chunks: VecDeque<Bytes>, rest: Option<(Incoming, G)>) -> Self {
+        Self { chunks, rest }
+    }
+
+    /// Whether the whole body is in memory.
+    pub fn is_whole(&self) -> bool {
+        self.rest.is_none()
+    }
+}
+
+impl<G: Unpin> HttpBody for Body<G> {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let this = self.get_mut();
+        if let Some(chunk) = this.chunks.pop_front() {
+            return Poll::Ready(Some(Ok(Frame::data(chunk))));
+        }
+        let Some((rest, _)) = &mut this.rest else {
+            return Poll::Ready(None);
+        };
+        let frame = Pin::new(rest).poll_frame(cx);
+        if matches!(frame, Poll::Ready(None)) {
+            this.rest = None;
+        }
+        frame
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.chunks.is_empty() && self.rest.is_none()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let read: usize = self.chunks.iter().map(Bytes::len).sum();
+        let mut hint = SizeHint::with_exact(read as u64);
+        if let Some((rest, _)) = &self.rest {
+            let rest = rest.size_hint();
+            match rest.exact() {
+                Some(rest) => hint.set_exact(read as u64 + rest),
+                None => {
+                    hint = SizeHint::new();
+                    hint.set_lower(read as u64 + rest.lower());
+                }
+            }
+        }
+        hint
+    }
+}
+
+/// Why a body could not be read into memory.
+#[derive(Debug, thiserror::Error)]
+pub enum ReadError {
+    /// It is longer than the limit.
+    #[error("the body is longer than {limit} bytes")]
+    TooLong {
+        /// The limit in bytes.
+        limit: usize,
+    },
+    /// The connection failed before its end.
+    #[error("the body broke off: {0}")]
+    Broken(#[from] hyper::Error),
+}
+
+/// Reads a whole body into memory.
+pub async fn read_whole(mut body: Incoming, limit: usize) -> Result<Bytes, ReadError> {
+    let mut chunks = VecDeque::new();
+    match read_up_to(&mut body, limit, &mut chunks).await? {
+        true => Ok(concat(chunks)),
+        false => Err(ReadError::TooLong { limit }),
+    }
+}
+
+/// Reads a body until its end or until `limit` bytes were read; true at its
+/// end.
+pub async fn read_up_to(
+    body: &mut Incoming,
+    limit: usize,
+    chunks: &mut VecDeque<Bytes>,
+) -> Result<bool, hyper::Error> {
+    let mut read = 0;
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame?.into_data() else {
+            // Trailers carry nothing that is passed on.
+            continue;
+        };
+        read += data.len();
+        chunks.push_back(data);
+        if read > limit {
+            return Ok(false);
+        }
+    }
+    Ok(true)
+}
+
+/// Joins chunks to one buffer; a single one is not copied.
+pub fn concat(mut chunks: VecDeque<Bytes>) -> Bytes {
+    match chunks.len() {
+        0 => Bytes::new(),
+        1 => chunks.pop_front().unwrap_or_default(),
+        _ => chunks
+            .iter()
+            .flat_map(|chunk| chunk.iter().copied())
+            .collect(),
+    }
+}
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -7,7 +7,7 @@
 
 use crate::process::Process;
 use crate::telemetry;
-use ibiscove_platform::{Objects, Table};
+use ibiscove_store::{Objects, Table};
 use ibiscove_types::{Clock, NodeState, ServiceKind};
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -6,7 +6,7 @@
 //! own observations outweigh.
 
 use crate::process::Process;
-use ibiscove_platform::{Objects, Table};
+use ibiscove_store::{Objects, Table};
 use ibiscove_types::{Clock, UpstreamSpec};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
--- a/crates/node/src/balance.rs
+++ b/crates/node/src/balance.rs
@@ -7,11 +7,11 @@
 
 use crate::process::Process;
 use ibiscove_config::ServiceRules;
-use ibiscove_platform::{Objects, Table};
 use ibiscove_routing::meter::{Meter, Rates};
 use ibiscove_routing::planner::{
     NodeLoad, Planner, PlannerSettings, Proposals, SlotRate, planner_of,
 };
+use ibiscove_store::{Objects, Table};
 use ibiscove_types::{
     Clock, Incarnation, Map, NodeRow, NodeState, ServiceKind, ServiceName, ServiceRow, Slot,
 };
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -12,9 +12,9 @@
 use crate::problem::Refusal;
 use crate::process::Process;
 use crate::request_id::IdParts;
-use ibiscove_platform::{Objects, Table};
 use ibiscove_routing::deadline;
 use ibiscove_routing::retry::{self, Failure, Next};
+use ibiscove_store::{Objects, Table};
 use ibiscove_types::{Clock, Incarnation, Outcome, Reason, RequestId, ServiceKind};
 use std::sync::Arc;
 use std::time::Instant;
@@ -160,6 +160,7 @@
         idempotent: plan.idempotent,
         attempts,
         remaining: deadline::remaining(plan.deadline, process.clock.now()),
+        has_others: false,
     };
     Some(retry::next(failure, rng)).filter(|next| *next != Next::Stop)
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -44,7 +44,7 @@
 pub use transport::Limits;
 
 use ibiscove_ownership::{Ownership, OwnershipError};
-use ibiscove_platform::{Objects, Table};
+use ibiscove_store::{Objects, Table};
 use ibiscove_types::{Clock, Incarnation, Map, NodeRow};
 use ibiscove_wire::PeerClient;
 use listen::Listener;
--- a/crates/node/src/outcome_route.rs
+++ b/crates/node/src/outcome_route.rs
@@ -9,7 +9,7 @@
 use crate::problem::Refusal;
 use crate::process::Process;
 use crate::request_id::IdParts;
-use ibiscove_platform::{Objects, Table};
+use ibiscove_store::{Objects, Table};
 use ibiscove_types::{Clock, Outcome, Reason, RequestId};
 use trillium::{Conn, KnownHeaderName, Method, Status};
 
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -2,7 +2,7 @@
 
 use crate::listen::Bound;
 use crate::process::Process;
-use ibiscove_platform::{Objects, Table};
+use ibiscove_store::{Objects, Table};
 use ibiscove_types::{Clock, Incarnation};
 use ibiscove_wire::Handler;
 use ibiscove_wire::messages::{Done, Failed, Request, Response};
--- a/crates/node/src/plan.rs
+++ b/crates/node/src/plan.rs
@@ -4,7 +4,7 @@
 use crate::process::Process;
 use crate::services::Choice;
 use ibiscove_config::rules::{KeySource, Route, segment};
-use ibiscove_platform::{Objects, Table};
+use ibiscove_store::{Objects, Table};
 use ibiscove_types::{Clock, Incarnation, Map, Reason, ServiceKind, ServiceName, Slot, hash};
 use std::borrow::Cow;
 use std::net::SocketAddr;
--- a/crates/node/src/spreading.rs
+++ b/crates/node/src/spreading.rs
@@ -2,8 +2,8 @@
 
 use crate::process::Process;
 use ibiscove_config::change::ConfigKind;
-use ibiscove_platform::{Objects, Table};
 use ibiscove_spread::{Entry, SpreadSettings};
+use ibiscove_store::{Objects, Table};
 use ibiscove_types::{Clock, Incarnation};
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -6,7 +6,7 @@
 
 use crate::process::Process;
 use ibiscove_config::change::ConfigKind;
-use ibiscove_platform::{Objects, Table};
+use ibiscove_store::{Objects, Table};
 use ibiscove_types::{Clock, Map, NodeRow, NodeState};
 use ibiscove_wire::messages::{Report, ReportQuery, Request, Response};
 use ibiscove_wire::{PeerError, Peers};
--- a/crates/ownership/src/claim.rs
+++ b/crates/ownership/src/claim.rs
@@ -4,7 +4,7 @@
 use crate::settle::heir_for;
 use crate::store::{Committed, MAX_ATTEMPTS, to_body};
 use crate::{Ownership, OwnershipError, lock};
-use ibiscove_platform::{Table, Transaction};
+use ibiscove_store::{Table, Transaction};
 use ibiscove_types::rows::{Vacancy, node_key, service_key};
 use ibiscove_types::{Acquired, Clock, NodeState, ServiceRow, SlotGrant};
 use ibiscove_wire::Peers;
--- a/crates/ownership/src/declared.rs
+++ b/crates/ownership/src/declared.rs
@@ -11,7 +11,7 @@
 use crate::evidence::Evidence;
 use crate::settle::{Cause, Settled};
 use crate::{MoveHooks, Ownership, lock};
-use ibiscove_platform::Table;
+use ibiscove_store::Table;
 use ibiscove_types::{Clock, Incarnation, NodeState};
 use ibiscove_wire::Peers;
 use ibiscove_wire::messages::{Heartbeat, Request, Response};
--- a/crates/ownership/src/error.rs
+++ b/crates/ownership/src/error.rs
@@ -1,6 +1,6 @@
 //! Why a change of ownership did not happen.
 
-use ibiscove_platform::TableError;
+use ibiscove_store::TableError;
 
 /// Why a change of ownership did not happen.
 #[derive(Debug, thiserror::Error)]
--- a/crates/ownership/src/heartbeat.rs
+++ b/crates/ownership/src/heartbeat.rs
@@ -1,7 +1,7 @@
 //! Heartbeats to the witnesses, one task for each.
 
 use crate::{MoveHooks, Ownership};
-use ibiscove_platform::Table;
+use ibiscove_store::Table;
 use ibiscove_types::{Clock, Incarnation};
 use ibiscove_wire::Peers;
 use ibiscove_wire::messages::{Request, Response};
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -35,8 +35,8 @@
 
 use evidence::Evidence;
 use held::HeldSlots;
-use ibiscove_platform::Table;
 use ibiscove_spread::{Entry, Replica};
+use ibiscove_store::Table;
 use ibiscove_types::rows::{self, NODE_PREFIX};
 use ibiscove_types::{
     Clock, Incarnation, NodeRow, NodeState, Reason, RowVersion, ServiceKind, Slot, SlotGrant,
--- a/crates/ownership/src/moves.rs
+++ b/crates/ownership/src/moves.rs
@@ -9,7 +9,7 @@
 use crate::settle::heir_for;
 use crate::store::{Committed, MAX_ATTEMPTS, to_body};
 use crate::{MoveHooks, Ownership, OwnershipError};
-use ibiscove_platform::{Table, Transaction};
+use ibiscove_store::{Table, Transaction};
 use ibiscove_types::rows::node_key;
 use ibiscove_types::{
     Acquired, Clock, Incarnation, NodeRow, NodeState, ServiceName, Slot, SlotGrant,
--- a/crates/ownership/src/own_row.rs
+++ b/crates/ownership/src/own_row.rs
@@ -7,8 +7,8 @@
 
 use crate::store::{Committed, MAX_ATTEMPTS, to_body};
 use crate::{MoveHooks, OwnRow, Ownership, OwnershipError};
-use ibiscove_platform::{Table, Transaction};
 use ibiscove_spread::Entry;
+use ibiscove_store::{Table, Transaction};
 use ibiscove_types::rows::node_key;
 use ibiscove_types::{Clock, NodeRow, NodeState, RowVersion};
 use ibiscove_wire::Peers;
--- a/crates/ownership/src/settle.rs
+++ b/crates/ownership/src/settle.rs
@@ -9,7 +9,7 @@
 use crate::lease::majority;
 use crate::store::{Committed, to_body};
 use crate::{MoveHooks, Ownership, OwnershipError};
-use ibiscove_platform::{Table, Transaction};
+use ibiscove_store::{Table, Transaction};
 use ibiscove_types::rows::{Vacancy, node_key, service_key};
 use ibiscove_types::{
     Acquired, Clock, Fence, Incarnation, NodeRow, NodeState, RowVersion, ServiceRow, SlotGrant,
--- a/crates/ownership/src/store.rs
+++ b/crates/ownership/src/store.rs
@@ -7,8 +7,8 @@
 
 use crate::MoveHooks;
 use crate::{Ownership, OwnershipError};
-use ibiscove_platform::{Commit, Condition, RawRow, Table, TableError, Transaction};
 use ibiscove_spread::Entry;
+use ibiscove_store::{Commit, Condition, RawRow, Table, TableError, Transaction};
 use ibiscove_types::rows::service_key;
 use ibiscove_types::{Clock, RowVersion, ServiceName, ServiceRow};
 use ibiscove_wire::Peers;
--- a/crates/ownership/src/tasks.rs
+++ b/crates/ownership/src/tasks.rs
@@ -2,8 +2,8 @@
 
 use crate::join::join_all;
 use crate::{MoveHooks, Ownership, OwnershipError};
-use ibiscove_platform::Table;
 use ibiscove_spread::{Entry, SpreadSettings};
+use ibiscove_store::Table;
 use ibiscove_types::rows::{node_key, service_key};
 use ibiscove_types::{Clock, Incarnation, NodeRow, ServiceRow};
 use ibiscove_wire::Peers;
--- a/crates/ownership/src/upkeep.rs
+++ b/crates/ownership/src/upkeep.rs
@@ -5,7 +5,7 @@
 use crate::settle::{Cause, Settled};
 use crate::store::Backoff;
 use crate::{MoveHooks, OwnRow, Ownership, OwnershipError, choose, lock};
-use ibiscove_platform::Table;
+use ibiscove_store::Table;
 use ibiscove_types::{Clock, Incarnation, NodeRow, NodeState};
 use ibiscove_wire::Peers;
 use std::time::Instant;
--- a/crates/ownership/tests/explorer/checker.rs
+++ b/crates/ownership/tests/explorer/checker.rs
@@ -1,6 +1,6 @@
 //! Watches what upstreams executed, and what the table holds.
 
-use ibiscove_platform::{MemoryPlatform, Table};
+use ibiscove_store::{MemoryPlatform, Table};
 use ibiscove_types::rows::{NODE_PREFIX, SERVICE_PREFIX};
 use ibiscove_types::{Fence, Incarnation, NodeRow, NodeState, ServiceRow, Slot};
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/ownership/tests/explorer/world.rs
+++ b/crates/ownership/tests/explorer/world.rs
@@ -4,8 +4,8 @@
 use crate::sim::{NodeIndex, Sim, SimClock, WORLD};
 use async_task::Task;
 use ibiscove_ownership::{Admission, NoHooks, Ownership, OwnershipSettings, ServiceShape};
-use ibiscove_platform::{Commit, MemoryPlatform, RawRow, Table, TableError, Transaction};
 use ibiscove_spread::{Replica, SpreadSettings};
+use ibiscove_store::{Commit, MemoryPlatform, RawRow, Table, TableError, Transaction};
 use ibiscove_types::{
     DataCentre, Incarnation, NodeRow, NodeState, ServiceKind, Slot, UpstreamSpec,
 };
--- /dev/null
+++ b/crates/proxy/src/gate.rs
@@ -0,0 +1,464 @@
+//! The only way to the upstream beside this node.
+
+use crate::beside::{Beside, Present};
+use crate::forward::Work;
+use crate::headers::{self, HeaderNames};
+use crate::refusal::Refusal;
+use crate::relay::{Reply, read_answer};
+use bytes::Bytes;
+use hyper::http::uri::PathAndQuery;
+use hyper::{HeaderMap, Method, Request, Uri};
+use ibiscove_http::{Body, Exchange, Pool, SendError};
+use ibiscove_ranges::keeper::{Keeper, Serving};
+use ibiscove_routing::admission::{Admission, Ask, Left, Ticket, Verdict};
+use ibiscove_store::Table;
+use ibiscove_types::{BootClock, Clock, Key, Reason};
+use smol::channel::{Receiver, Sender};
+use smol::future::FutureExt;
+use std::collections::HashMap;
+use std::io;
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::time::{Duration, Instant};
+
+/// The label of this role in metrics.
+const ROLE: &str = "gate";
+
+/// The keys of a divided service, as a gate sees them.
+pub trait KeyOwner: Clone + Send + Sync + 'static {
+    /// Whether the upstream serves a key now.
+    fn serving(&self, key: Key) -> Serving;
+    /// A request for a key kept the upstream busy.
+    fn note_work(&self, key: Key, took: Duration);
+    /// The upstream's process has ended.
+    fn upstream_ended(&self);
+}
+
+impl<T: Table, G: ibiscove_ranges::Grantee, C: Clock + BootClock> KeyOwner for Keeper<T, G, C> {
+    fn serving(&self, key: Key) -> Serving {
+        Keeper::serving(self, key)
+    }
+
+    fn note_work(&self, key: Key, took: Duration) {
+        Keeper::note_work(self, key, took);
+    }
+
+    fn upstream_ended(&self) {
+        self.upstream_gone(true);
+    }
+}
+
+/// How a gate uses its upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct GateSettings {
+    /// How long a connection may have been idle and still carry a request that
+    /// must not run twice. An upstream may drop an idle connection at any time,
+    /// and what was just sent on it is then lost.
+    pub max_idle_once: Duration,
+    /// The same for requests that may run more than once.
+    pub max_idle: Duration,
+    /// Time past the deadline for which the upstream's own answer is awaited.
+    pub answer_slack: Duration,
+    /// Weight of a new time in the usual time of a route.
+    pub time_weight: f64,
+}
+
+impl Default for GateSettings {
+    fn default() -> Self {
+        Self {
+            max_idle_once: Duration::from_millis(500),
+            max_idle: Duration::from_secs(3),
+            answer_slack: Duration::from_millis(20),
+            time_weight: 0.1,
+        }
+    }
+}
+
+/// A caller's request, as it goes to an upstream.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// The method.
+    pub method: Method,
+    /// Path and query, as the caller wrote them.
+    pub target: PathAndQuery,
+    /// Headers that are passed on.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+impl Call {
+    /// The request with additional headers.
+    pub fn request(&self, headers: HeaderMap) -> Request<Body> {
+        let mut req = Request::new(Body::whole(self.body.clone()));
+        *req.method_mut() = self.method.clone();
+        *req.uri_mut() = Uri::from(self.target.clone());
+        *req.headers_mut() = headers;
+        req
+    }
+}
+
+/// The gate of a node. Clones share it.
+pub struct Gate<K, C> {
+    inner: Arc<Inner<K, C>>,
+}
+
+impl<K, C> Clone for Gate<K, C> {
+    fn clone(&self) -> Self {
+        Self {
+            inner: Arc::clone(&self.inner),
+        }
+    }
+}
+
+struct Inner<K, C> {
+    settings: GateSettings,
+    names: HeaderNames,
+    clock: C,
+    beside: Beside,
+    pool: Pool,
+    /// Set once the configuration says that the upstream's service is divided.
+    keys: OnceLock<K>,
+    admission: Mutex<Admission<Waiter<K, C>>>,
+    times: Mutex<Times>,
+}
+
+/// Usual times at the upstream, in seconds.
+#[derive(Default)]
+struct Times {
+    by_route: HashMap<Arc<str>, f64>,
+    all: Option<f64>,
+}
+
+/// Where a waiting request is told that it runs, or after what time there may
+/// be room.
+struct Waiter<K, C> {
+    tx: Sender<Result<Permit<K, C>, Duration>>,
+    estimate: Duration,
+}
+
+/// A slot of the upstream; dropping it gives the slot to the next request.
+pub struct Permit<K, C> {
+    gate: Arc<Inner<K, C>>,
+    estimate: Duration,
+}
+
+impl<K, C> Drop for Permit<K, C> {
+    fn drop(&mut self) {
+        // Those that leave the queue are told without the lock: one that was
+        // given up meanwhile drops its permit, which comes here again.
+        let left = self.gate.admission().ended(self.estimate, Instant::now());
+        for left in left {
+            match left {
+                Left::Run(waiter) => {
+                    let permit = Permit {
+                        gate: Arc::clone(&self.gate),
+                        estimate: waiter.estimate,
+                    };
+                    drop(waiter.tx.try_send(Ok(permit)));
+                }
+                Left::Refuse(waiter, retry_after) => {
+                    drop(waiter.tx.try_send(Err(retry_after)));
+                }
+            }
+        }
+    }
+}
+
+impl<K, C> Inner<K, C> {
+    fn admission(&self) -> MutexGuard<'_, Admission<Waiter<K, C>>> {
+        self.admission
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn times(&self) -> MutexGuard<'_, Times> {
+        self.times.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A request in the queue; dropping it leaves the queue.
+struct InQueue<K, C> {
+    gate: Arc<Inner<K, C>>,
+    ticket: Ticket,
+    rx: Receiver<Result<Permit<K, C>, Duration>>,
+}
+
+impl<K, C> Drop for InQueue<K, C> {
+    fn drop(&mut self) {
+        drop(self.gate.admission().cancel(&self.ticket));
+    }
+}
+
+/// What a gate tells of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GateLoad {
+    /// Requests that run or wait.
+    pub load: u32,
+    /// Usual time of a request at the upstream.
+    pub service_time: Duration,
+}
+
+impl<K: KeyOwner, C: Clock> Gate<K, C> {
+    /// A gate to the upstream that announces itself at `beside`.
+    pub fn new(
+        settings: GateSettings,
+        names: HeaderNames,
+        clock: C,
+        beside: Beside,
+        pool: Pool,
+    ) -> Self {
+        Self {
+            inner: Arc::new(Inner {
+                settings,
+                names,
+                clock,
+                beside,
+                pool,
+                keys: OnceLock::new(),
+                admission: Mutex::new(Admission::new(1)),
+                times: Mutex::default(),
+            }),
+        }
+    }
+
+    /// The upstream's service is divided, and `keys` knows what it owns.
+    pub fn set_keys(&self, keys: K) {
+        if self.inner.keys.set(keys).is_err() {
+            log::error!("the keys of the upstream were set twice; the first stay");
+        }
+    }
+
+    /// What runs and waits, and the usual time.
+    pub fn load(&self) -> GateLoad {
+        let load = self.inner.admission().load();
+        let all = self.inner.times().all.unwrap_or(DEFAULT_TIME.as_secs_f64());
+        GateLoad {
+            load: u32::try_from(load).unwrap_or(u32::MAX),
+            service_time: Duration::from_secs_f64(all),
+        }
+    }
+
+    /// Runs a request at the upstream.
+    pub async fn run(&self, work: &Work, call: &Call) -> Result<Reply<Permit<K, C>>, Refusal> {
+        let answered = self.try_run(work, call).await;
+        if let Err(refusal) = &answered {
+            refusal.count(ROLE);
+            log::info!(
+                request = &*work.request_id, route = &*work.route, key:? = work.key,
+                entry = &*work.entry, reason = refusal.reason.as_str(),
+                outcome = refusal.outcome.as_str(), load = self.inner.admission().load(),
+                left_ms = self.left(work).as_millis() as u64;
+                "gate refused"
+            );
+        }
+        answered
+    }
+
+    async fn try_run(&self, work: &Work, call: &Call) -> Result<Reply<Permit<K, C>>, Refusal> {
+        self.admit(work).map_err(Refusal::not_run)?;
+        let permit = self.permit(work).await?;
+        // The wait may have been long enough for the upstream to change.
+        let present = self.admit(work).map_err(Refusal::not_run)?;
+        let began = self.inner.clock.now();
+        let left = self.left(work);
+        if left.is_zero() {
+            return Err(Refusal::not_run(Reason::DeadlineExceeded));
+        }
+        let req = call.request(self.headers(work, call, &present, left));
+        let max_idle = match work.idempotent {
+            true => self.inner.settings.max_idle,
+            false => self.inner.settings.max_idle_once,
+        };
+        let addr = self.inner.beside.addr();
+        let exchange = async {
+            match self.inner.pool.send(addr, req, max_idle).await {
+                Ok(exchange) => self.judge(work, exchange, permit).await,
+                Err(err) => Err(self.send_failed(work, &present, &err)),
+            }
+        };
+        let limit = left + self.inner.settings.answer_slack;
+        let timeout = async {
+            self.inner.clock.sleep(limit).await;
+            Err(Refusal::unknown(Reason::DeadlineExceeded))
+        };
+        let answered = exchange.or(timeout).await;
+        let now = self.inner.clock.now();
+        let took = now.saturating_duration_since(began);
+        if let (Some(key), Some(keys)) = (work.key, self.inner.keys.get()) {
+            keys.note_work(key, took);
+        }
+        if answered.is_ok() {
+            self.inner.beside.note_answer(now);
+            self.note_time(work, took);
+        }
+        answered
+    }
+
+    /// Whether a request may be sent to the upstream now.
+    fn admit(&self, work: &Work) -> Result<Present, Reason> {
+        let present = self.inner.beside.present().ok_or(Reason::NoUpstream)?;
+        if present.announced.service != work.service {
+            return Err(Reason::NotOwner);
+        }
+        let now = self.inner.clock.now();
+        let keys = self.inner.keys.get();
+        if !self.inner.beside.takes_work(&present, keys.is_some(), now) {
+            return Err(Reason::Draining);
+        }
+        match (keys, work.key) {
+            (None, _) => Ok(present),
+            (Some(_), None) => Err(Reason::NoKey),
+            (Some(keys), Some(key)) => match keys.serving(key) {
+                Serving::Yes => Ok(present),
+                Serving::Moving => Err(Reason::Moving),
+                Serving::NotOwner => Err(Reason::NotOwner),
+            },
+        }
+    }
+
+    /// Waits for a slot of the upstream.
+    async fn permit(&self, work: &Work) -> Result<Permit<K, C>, Refusal> {
+        let now = self.inner.clock.now();
+        let estimate = self.estimate(work, now);
+        let ask = Ask {
+            priority: work.priority,
+            target: work.target,
+            deadline: work.deadline,
+            estimate,
+        };
+        let (tx, rx) = smol::channel::bounded(1);
+        let waiter = || Waiter { tx, estimate };
+        let slots = self.inner.beside.present().map_or(1, |p| p.announced.slots);
+        let verdict = {
+            let mut admission = self.inner.admission();
+            admission.set_concurrency(slots as usize);
+            admission.offer(ask, waiter, now)
+        };
+        let ticket = match verdict {
+            Verdict::Run => {
+                return Ok(Permit {
+                    gate: Arc::clone(&self.inner),
+                    estimate,
+                });
+            }
+            Verdict::Wait(ticket) => ticket,
+            Verdict::Refuse { retry_after } => {
+                return Err(Refusal::not_run(Reason::Overloaded).after(retry_after));
+            }
+        };
+        let queued = InQueue {
+            gate: Arc::clone(&self.inner),
+            ticket,
+            rx,
+        };
+        let latest = (work.deadline - estimate / 2).saturating_duration_since(now);
+        let turn = async { queued.rx.recv().await.unwrap_or(Err(Duration::ZERO)) };
+        let too_late = async {
+            self.inner.clock.sleep(latest).await;
+            Err(self.inner.admission().drained_in())
+        };
+        let turn = turn.or(too_late).await;
+        let waited = self.inner.clock.now().saturating_duration_since(now);
+        metrics::histogram!("ibiscove_queue_seconds").record(waited);
+        turn.map_err(|retry_after| Refusal::not_run(Reason::Overloaded).after(retry_after))
+    }
+
+    fn headers(&self, work: &Work, call: &Call, present: &Present, left: Duration) -> HeaderMap {
+        let names = &self.inner.names;
+        let mut to = call.headers.clone();
+        headers::remove_between_nodes(&mut to);
+        let left = left.as_millis().max(1).to_string();
+        to.insert(names.deadline_ms.clone(), headers::value(&left));
+        let id = &present.announced.life.id;
+        to.insert(names.expected_upstream.clone(), headers::value(id));
+        match &work.origin {
+            Some(origin) => {
+                to.insert(names.caller_service.clone(), headers::value(origin));
+            }
+            None => {
+                to.remove(&names.caller_service);
+            }
+        }
+        to
+    }
+
+    /// Tells the answer to this request from everything else that may come on
+    /// its connection.
+    async fn judge(
+        &self,
+        work: &Work,
+        exchange: Exchange,
+        permit: Permit<K, C>,
+    ) -> Result<Reply<Permit<K, C>>, Refusal> {
+        let names = &self.inner.names;
+        let from = exchange.answer.headers();
+        if from.contains_key(&names.not_executed) || exchange.answer.status() == 421 {
+            let status = exchange.answer.status().as_u16();
+            log::info!(request = &*work.request_id, status; "upstream did not run the request");
+            return Err(Refusal::not_run(Reason::UpstreamRefused));
+        }
+        let echoes = headers::text(from, &names.request_id) == Some(&*work.request_id);
+        let is_success = exchange.answer.status().is_success();
+        let is_proven = names
+            .proof
+            .as_ref()
+            .is_none_or(|proof| from.contains_key(proof));
+        if !echoes || (is_success && !is_proven) {
+            log::warn!(request = &*work.request_id, echoes, is_proven;
+                "an answer of the upstream is not that of its request");
+            return Err(Refusal::unknown(Reason::UpstreamLost));
+        }
+        let mut reply = read_answer(exchange, Some(permit)).await.map_err(|err| {
+            log::info!(request = &*work.request_id; "the upstream's answer broke off: {err}");
+            Refusal::unknown(Reason::UpstreamLost)
+        })?;
+        headers::remove_hop_by_hop(reply.headers_mut());
+        Ok(reply)
+    }
+
+    fn send_failed(&self, work: &Work, present: &Present, err: &SendError) -> Refusal {
+        log::info!(request = &*work.request_id, upstream = &*present.announced.life.id;
+            "the upstream gave no answer: {err}");
+        if let SendError::Connect { cause, .. } = err
+            && cause.kind() == io::ErrorKind::ConnectionRefused
+            && self.inner.beside.note_refused(&present.announced.life)
+            && let Some(keys) = self.inner.keys.get()
+        {
+            keys.upstream_ended();
+        }
+        match err.is_unsent() {
+            true => Refusal::not_run(Reason::UpstreamUnreachable),
+            false => Refusal::unknown(Reason::UpstreamLost),
+        }
+    }
+
+    fn left(&self, work: &Work) -> Duration {
+        work.deadline
+            .saturating_duration_since(self.inner.clock.now())
+    }
+
+    fn estimate(&self, work: &Work, now: Instant) -> Duration {
+        let times = self.inner.times();
+        match times.by_route.get(&work.route) {
+            Some(usual) => Duration::from_secs_f64(*usual),
+            // Targets are commonly set at a few times the usual time.
+            None => work.target.saturating_duration_since(now) / 4,
+        }
+    }
+
+    fn note_time(&self, work: &Work, took: Duration) {
+        let took = took.as_secs_f64();
+        let weight = self.inner.settings.time_weight;
+        let mut times = self.inner.times();
+        let usual = times
+            .by_route
+            .entry(Arc::clone(&work.route))
+            .or_insert(took);
+        *usual += (took - *usual) * weight;
+        let all = times.all.get_or_insert(took);
+        *all += (took - *all) * weight;
+    }
+}
+
+/// Time of a request at an upstream of which nothing is known yet.
+const DEFAULT_TIME: Duration = Duration::from_millis(50);
--- /dev/null
+++ b/crates/proxy/src/refusal.rs
@@ -0,0 +1,110 @@
+//! Requests that were not answered by their upstream.
+
+use crate::headers::{self, OUTCOME, REASON, RETRY_AFTER_MS};
+use hyper::Response;
+use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use ibiscove_http::Body;
+use ibiscove_types::{Outcome, Reason};
+use std::time::Duration;
+
+/// Media type of a problem document (RFC 9457).
+const PROBLEM: HeaderValue = HeaderValue::from_static("application/problem+json");
+
+/// A request that ends without its upstream's answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Whether it ran.
+    pub outcome: Outcome,
+    /// Why it ends so.
+    pub reason: Reason,
+    /// When there is likely room again.
+    pub retry_after: Duration,
+}
+
+impl Refusal {
+    /// A refusal before anything went to the upstream.
+    pub fn not_run(reason: Reason) -> Self {
+        Self {
+            outcome: Outcome::NotRun,
+            reason,
+            retry_after: Duration::ZERO,
+        }
+    }
+
+    /// A loss after something may have gone to the upstream.
+    pub fn unknown(reason: Reason) -> Self {
+        Self {
+            outcome: Outcome::Unknown,
+            ..Self::not_run(reason)
+        }
+    }
+
+    /// The same with a time to return.
+    pub fn after(self, retry_after: Duration) -> Self {
+        Self {
+            retry_after,
+            ..self
+        }
+    }
+
+    /// The status that callers see. 503 promises that the request has not run
+    /// and will not; 502 and 504 promise nothing.
+    pub fn status(&self) -> u16 {
+        match (self.outcome, self.reason) {
+            (_, Reason::NoRoute | Reason::NoKey | Reason::BadHeader | Reason::BodyTooLarge) => {
+                self.reason.status()
+            }
+            (Outcome::NotRun, _) => 503,
+            (_, Reason::DeadlineExceeded) => 504,
+            _ => 502,
+        }
+    }
+
+    /// Counts this refusal under a role of the node.
+    pub fn count(&self, role: &'static str) {
+        metrics::counter!(
+            "ibiscove_refusals_total",
+            "role" => role,
+            "reason" => self.reason.as_str(),
+            "outcome" => self.outcome.as_str(),
+        )
+        .increment(1);
+    }
+
+    /// The answer that says so.
+    pub fn answer<G>(&self) -> Response<Body<G>> {
+        let body = serde_json::json!({
+            "title": self.reason.as_str(),
+            "outcome": self.outcome.as_str(),
+        });
+        let mut answer = Response::new(Body::whole(body.to_string()));
+        if let Ok(status) = hyper::StatusCode::from_u16(self.status()) {
+            *answer.status_mut() = status;
+        }
+        let to = answer.headers_mut();
+        to.insert(CONTENT_TYPE, PROBLEM);
+        to.insert(OUTCOME, headers::value(self.outcome.as_str()));
+        to.insert(REASON, headers::value(self.reason.as_str()));
+        if self.status() == 503 {
+            let seconds = format!("{:.3}", self.retry_after.as_secs_f64());
+            to.insert(RETRY_AFTER, headers::value(&seconds));
+            let millis = self.retry_after.as_millis().to_string();
+            to.insert(RETRY_AFTER_MS, headers::value(&millis));
+        }
+        answer
+    }
+
+    /// Reads the refusal of another node's gate; none when the answer is an
+    /// upstream's.
+    pub fn read<B>(answer: &Response<B>) -> Option<Self> {
+        let from = answer.headers();
+        let reason = headers::text(from, &REASON)?;
+        let outcome = headers::text(from, &OUTCOME).and_then(Outcome::parse);
+        let millis = headers::text(from, &RETRY_AFTER_MS).and_then(|text| text.parse().ok());
+        Some(Self {
+            outcome: outcome.unwrap_or(Outcome::Unknown),
+            reason: Reason::parse(reason).unwrap_or(Reason::PeerLost),
+            retry_after: Duration::from_millis(millis.unwrap_or(0)),
+        })
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/routes.rs
@@ -0,0 +1,296 @@
+//! Which service a request is for, and what its operator wants of it.
+
+use bytes::Bytes;
+use event_listener::{Event, EventListener};
+use ibiscove_routing::admission::Priority;
+use ibiscove_types::ServiceName;
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// A service that gets a share of a route's requests.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Share {
+    /// The service.
+    pub service: ServiceName,
+    /// Its weight among the shares.
+    pub weight: u32,
+}
+
+/// What the operator says of requests whose path begins with a prefix.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Route {
+    /// The route's name.
+    pub name: Arc<str>,
+    /// The `Host` that it is for, in lower case.
+    pub host: String,
+    /// Begins and ends with a slash.
+    pub prefix: String,
+    /// Whether requests may run more than once.
+    pub idempotent: bool,
+    /// Longest time that a caller is kept waiting.
+    pub timeout: Duration,
+    /// Time within which an answer is of full worth.
+    pub target_latency: Duration,
+    /// Upstreams that one request may be sent to.
+    pub max_attempts: u32,
+    /// Rank of its requests; 0 is the most urgent.
+    pub priority: Priority,
+    /// The services that get its requests; one or more.
+    pub shares: Vec<Share>,
+}
+
+impl Route {
+    /// The service for a request, by a number drawn for it.
+    pub fn service(&self, draw: u64) -> Option<&ServiceName> {
+        let total: u64 = self
+            .shares
+            .iter()
+            .map(|share| u64::from(share.weight))
+            .sum();
+        if total == 0 {
+            return self.shares.first().map(|share| &share.service);
+        }
+        let mut point = draw % total;
+        for share in &self.shares {
+            let weight = u64::from(share.weight);
+            if point < weight {
+                return Some(&share.service);
+            }
+            point -= weight;
+        }
+        None
+    }
+}
+
+/// What the operator says of a service.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Service {
+    /// Whether each key has one owner.
+    pub is_divided: bool,
+    /// Connections that its upstreams accept in all.
+    pub max_connections: Option<u32>,
+}
+
+/// What callers may send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// Longest body in bytes.
+    pub max_body_bytes: usize,
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            max_body_bytes: 64 << 20,
+        }
+    }
+}
+
+/// One version of the configuration.
+#[derive(Clone, Debug, Default)]
+pub struct RouteTable {
+    /// The version; later ones are higher.
+    pub version: u64,
+    /// Services by name.
+    pub services: HashMap<ServiceName, Service>,
+    /// What callers may send.
+    pub limits: CallerLimits,
+    /// Routes by host, the longest prefix first.
+    by_host: HashMap<String, Vec<Arc<Route>>>,
+}
+
+/// Why a configuration cannot be used.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum RouteError {
+    /// A route names a service that is not listed.
+    #[error("route {route} goes to {service}, which is not among the services")]
+    UnknownService {
+        /// The route.
+        route: Arc<str>,
+        /// The service.
+        service: ServiceName,
+    },
+    /// A prefix does not begin and end with a slash.
+    #[error("the prefix {prefix:?} of route {route} must begin and end with a slash")]
+    Prefix {
+        /// The route.
+        route: Arc<str>,
+        /// The prefix.
+        prefix: String,
+    },
+    /// A route has nowhere to go.
+    #[error("route {route} names no service with a weight above 0")]
+    NoService {
+        /// The route.
+        route: Arc<str>,
+    },
+    /// A time or count is zero.
+    #[error("{field} of route {route} must be above 0")]
+    Zero {
+        /// The route.
+        route: Arc<str>,
+        /// The field.
+        field: &'static str,
+    },
+}
+
+impl RouteTable {
+    /// A table of routes that agree with the services.
+    pub fn new(
+        version: u64,
+        routes: Vec<Route>,
+        services: HashMap<ServiceName, Service>,
+        limits: CallerLimits,
+    ) -> Result<Self, RouteError> {
+        let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
+        for route in routes {
+            check(&route, &services)?;
+            by_host
+                .entry(route.host.clone())
+                .or_default()
+                .push(Arc::new(route));
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        Ok(Self {
+            version,
+            services,
+            limits,
+            by_host,
+        })
+    }
+
+    /// The route of a request: among those of its host the one with the longest
+    /// prefix.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let host = without_port(host);
+        let routes = match self.by_host.get(host) {
+            Some(routes) => routes,
+            None => self.by_host.get(&host.to_ascii_lowercase())?,
+        };
+        routes.iter().find(|route| path.starts_with(&route.prefix))
+    }
+
+    /// Whether the keys of a service are divided.
+    pub fn is_divided(&self, service: &str) -> bool {
+        self.services
+            .get(service)
+            .is_some_and(|service| service.is_divided)
+    }
+}
+
+fn check(route: &Route, services: &HashMap<ServiceName, Service>) -> Result<(), RouteError> {
+    let name = || Arc::clone(&route.name);
+    if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
+        return Err(RouteError::Prefix {
+            route: name(),
+            prefix: route.prefix.clone(),
+        });
+    }
+    if !route.shares.iter().any(|share| share.weight > 0) {
+        return Err(RouteError::NoService { route: name() });
+    }
+    let unknown = route
+        .shares
+        .iter()
+        .find(|share| !services.contains_key(&share.service));
+    if let Some(share) = unknown {
+        return Err(RouteError::UnknownService {
+            route: name(),
+            service: Arc::clone(&share.service),
+        });
+    }
+    let zero = |field| RouteError::Zero {
+        route: name(),
+        field,
+    };
+    if route.timeout.is_zero() {
+        return Err(zero("timeout"));
+    }
+    if route.max_attempts == 0 {
+        return Err(zero("max_attempts"));
+    }
+    Ok(())
+}
+
+fn without_port(host: &str) -> &str {
+    match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => name,
+        _ => host,
+    }
+}
+
+/// The configuration in force at this node, with the text that it was read
+/// from, which other nodes may ask for. Clones share it.
+#[derive(Clone, Default)]
+pub struct ConfigCell {
+    inner: Arc<Inner>,
+}
+
+#[derive(Default)]
+struct Inner {
+    current: Mutex<Option<Current>>,
+    changed: Event,
+}
+
+#[derive(Clone)]
+struct Current {
+    table: Arc<RouteTable>,
+    text: Bytes,
+}
+
+impl ConfigCell {
+    /// The configuration in force; none before the first.
+    pub fn get(&self) -> Option<Arc<RouteTable>> {
+        self.lock()
+            .as_ref()
+            .map(|current| Arc::clone(&current.table))
+    }
+
+    /// Its version; 0 before the first.
+    pub fn version(&self) -> u64 {
+        self.lock()
+            .as_ref()
+            .map_or(0, |current| current.table.version)
+    }
+
+    /// The text that it was read from.
+    pub fn text(&self) -> Option<Bytes> {
+        self.lock().as_ref().map(|current| current.text.clone())
+    }
+
+    /// Puts a configuration in force unless it is older than the one that is;
+    /// true when it is the newest now.
+    pub fn take(&self, table: RouteTable, text: Bytes) -> bool {
+        let mut current = self.lock();
+        if current
+            .as_ref()
+            .is_some_and(|known| known.table.version >= table.version)
+        {
+            return false;
+        }
+        log::info!(version = table.version, services = table.services.len();
+            "configuration in force");
+        *current = Some(Current {
+            table: Arc::new(table),
+            text,
+        });
+        drop(current);
+        self.inner.changed.notify(usize::MAX);
+        true
+    }
+
+    /// Completes when a newer configuration is in force.
+    pub fn changed(&self) -> EventListener {
+        self.inner.changed.listen()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Option<Current>> {
+        self.inner
+            .current
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/ranges/src/balance.rs
@@ -0,0 +1,141 @@
+//! Which ranges go where: the first division, shares of joiners, and what a
+//! hot owner gives away.
+//!
+//! Each owner decides by itself what it gives, from its own load and what the
+//! others' heartbeats say; nobody steers. The transaction on the map settles
+//! races.
+
+use crate::load::KeyLoad;
+use crate::map::{KeyRange, Owner, RangeMap};
+use ibiscove_types::Key;
+
+/// Ranges that each member gets at the first division. Interleaved pieces
+/// spread busy neighbours; each costs one grant call at every renewal.
+pub const PIECES_PER_MEMBER: usize = 8;
+
+/// Utilisation from which an owner gives load away.
+pub const BUSY: f64 = 0.75;
+/// Least difference in utilisation that is worth a move.
+pub const WORTHWHILE: f64 = 0.4;
+/// Share of the difference that one move takes away. Below a half, so that two
+/// owners never trade places.
+const MOVED_SHARE: f64 = 0.4;
+/// How far a move may go beyond the work that it should take away.
+const OVERSHOOT: f64 = 1.5;
+
+/// A member that may own ranges, with its share of slots in use.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Candidate {
+    /// The owner it would be.
+    pub owner: Owner,
+    /// Requests that run or wait, for each slot.
+    pub utilisation: f64,
+}
+
+/// Divides `ranges` among the candidates, each piece to whoever has fewest
+/// keys.
+pub fn divide(map: &RangeMap, ranges: &[KeyRange], to: &[Owner]) -> Vec<(KeyRange, Owner)> {
+    if to.is_empty() {
+        return Vec::new();
+    }
+    let total: u32 = ranges.iter().map(KeyRange::width).sum();
+    let piece = (total / (to.len() * PIECES_PER_MEMBER) as u32).max(1);
+    let mut widths: Vec<u32> = to
+        .iter()
+        .map(|owner| map.width_of_node(&owner.node))
+        .collect();
+    let mut divided = Vec::new();
+    for part in ranges.iter().flat_map(|range| pieces(*range, piece)) {
+        let least = (0..to.len()).min_by_key(|i| widths[*i]).unwrap_or(0);
+        widths[least] += part.width();
+        divided.push((part, to[least].clone()));
+    }
+    divided
+}
+
+/// Cuts a range into pieces of `width` keys; the last one may be up to half as
+/// wide again.
+fn pieces(range: KeyRange, width: u32) -> Vec<KeyRange> {
+    let count = ((range.width() + width / 2) / width).max(1);
+    let first = u32::from(range.first);
+    (0..count)
+        .map(|i| KeyRange {
+            first: (first + i * width) as Key,
+            last: match i + 1 == count {
+                true => range.last,
+                false => (first + (i + 1) * width - 1) as Key,
+            },
+        })
+        .collect()
+}
+
+/// What `own` gives to a member that owns nothing: its even share of own keys.
+pub fn share_for_joiner(map: &RangeMap, own: &Owner, members: usize) -> Option<KeyRange> {
+    let width: u32 = map.owned_by(own).map(|a| a.range.width()).sum();
+    let share = width / u32::try_from(members).ok()?.max(1);
+    let widest = map.owned_by(own).max_by_key(|a| a.range.width())?.range;
+    let share = share.min(widest.width().saturating_sub(1));
+    (share > 0).then(|| KeyRange {
+        first: (u32::from(widest.last) + 1 - share) as Key,
+        last: widest.last,
+    })
+}
+
+/// What a busy owner gives to the least busy other, if that is worth a move.
+///
+/// It takes the keys at one end of a range whose work comes closest to what
+/// should go: a part of a hot neighbourhood, or the neighbours of one hot key,
+/// which itself would only carry its load along.
+pub fn shed(
+    map: &RangeMap,
+    own: &Candidate,
+    load: &KeyLoad,
+    others: &[Candidate],
+) -> Option<(KeyRange, Owner)> {
+    let least = others
+        .iter()
+        .min_by(|a, b| a.utilisation.total_cmp(&b.utilisation))?;
+    let difference = own.utilisation - least.utilisation;
+    if own.utilisation < BUSY || difference < WORTHWHILE {
+        return None;
+    }
+    let wanted = load.total() * MOVED_SHARE * difference / own.utilisation;
+    let best = map
+        .owned_by(&own.owner)
+        .flat_map(|a| [prefix(a.range, load, wanted), suffix(a.range, load, wanted)])
+        .flatten()
+        .min_by(|a, b| (a.1 - wanted).abs().total_cmp(&(b.1 - wanted).abs()))?;
+    Some((best.0, least.owner.clone()))
+}
+
+/// The first keys of a range whose work comes to `wanted`, with that work.
+fn prefix(range: KeyRange, load: &KeyLoad, wanted: f64) -> Option<(KeyRange, f64)> {
+    let keys: Vec<_> = load.of_range(range).collect();
+    let (last, work) = until(keys.into_iter(), wanted)?;
+    let first = range.first;
+    Some((KeyRange { first, last }, work))
+}
+
+/// The last keys of a range whose work comes to `wanted`, with that work.
+fn suffix(range: KeyRange, load: &KeyLoad, wanted: f64) -> Option<(KeyRange, f64)> {
+    let keys: Vec<_> = load.of_range(range).collect();
+    let (first, work) = until(keys.into_iter().rev(), wanted)?;
+    let last = range.last;
+    Some((KeyRange { first, last }, work))
+}
+
+fn until(keys: impl Iterator<Item = (Key, f64)>, wanted: f64) -> Option<(Key, f64)> {
+    let mut sum = 0.0;
+    let mut reached = None;
+    for (key, work) in keys {
+        if sum + work > wanted * OVERSHOOT {
+            break;
+        }
+        sum += work;
+        reached = Some((key, sum));
+        if sum >= wanted {
+            break;
+        }
+    }
+    reached.filter(|(_, work)| *work > 0.0)
+}
--- /dev/null
+++ b/crates/ranges/src/grants.rs
@@ -0,0 +1,311 @@
+//! What this node has granted to the upstream beside it.
+//!
+//! Invariant 3: a grant never outlasts the node's lease, on the slowest clock
+//! that an upstream may have. Invariant 4: a range is given on only when its
+//! release was confirmed and no unanswered grant of it can still take effect,
+//! or when every grant must have run out.
+
+use crate::map::{Assignment, KeyRange};
+use ibiscove_types::{Fence, Key, SinceBoot};
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A grant, or its renewal.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GrantCall {
+    /// The keys.
+    pub range: KeyRange,
+    /// The fence.
+    pub fence: Fence,
+    /// How long the upstream may serve them, from the call's arrival.
+    pub hold: Duration,
+    /// What the owner before handed over.
+    pub handover: Option<Arc<str>>,
+}
+
+/// What an upstream said to a grant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GrantReply {
+    /// It holds the keys.
+    Granted,
+    /// It has seen a higher fence.
+    FenceSeen,
+    /// It refused the call for another reason; it does not hold the keys.
+    Refused,
+    /// No answer came; the grant may take effect later.
+    Unanswered,
+}
+
+/// The end of a grant or of a part of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReleaseCall {
+    /// The keys.
+    pub range: KeyRange,
+    /// The fence.
+    pub fence: Fence,
+}
+
+/// What an upstream said to a release.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ReleaseReply {
+    /// All work on the keys has ended.
+    Released {
+        /// What the next owner's grant carries.
+        handover: Option<Arc<str>>,
+    },
+    /// No answer came.
+    Unanswered,
+}
+
+/// The upstream beside the node, as far as grants go.
+pub trait Grantee: Clone + Send + Sync + 'static {
+    /// Grants keys or renews a grant.
+    fn grant(&self, call: GrantCall) -> impl Future<Output = GrantReply> + Send;
+
+    /// Ends a grant; completes when the work on the keys has ended.
+    fn release(&self, call: ReleaseCall) -> impl Future<Output = ReleaseReply> + Send;
+}
+
+/// Times of grants.
+#[derive(Clone, Copy, Debug)]
+pub struct GrantSettings {
+    /// How long a grant lasts. Several renewals may fail within it, and a range
+    /// waits so long when its upstream stops answering.
+    pub hold: Duration,
+    /// Time between two renewals; a third of the hold.
+    pub renew_interval: Duration,
+    /// How much slower an upstream's clock may run, as a share.
+    pub clock_drift: f64,
+    /// Time that a call may take to arrive on the same machine.
+    pub arrival_slack: Duration,
+    /// Time for the answer to a grant.
+    pub call_timeout: Duration,
+    /// Time for a release, within which running work should end.
+    pub release_timeout: Duration,
+}
+
+impl Default for GrantSettings {
+    fn default() -> Self {
+        Self {
+            hold: Duration::from_millis(4_500),
+            renew_interval: Duration::from_millis(1_500),
+            clock_drift: 0.02,
+            arrival_slack: Duration::from_millis(100),
+            call_timeout: Duration::from_millis(400),
+            release_timeout: Duration::from_millis(3_000),
+        }
+    }
+}
+
+/// One range as granted.
+#[derive(Clone, Debug, PartialEq)]
+struct Granted {
+    range: KeyRange,
+    fence: Fence,
+    handover: Option<Arc<str>>,
+    /// Until when the upstream surely holds it; none before the first answer.
+    confirmed_until: Option<SinceBoot>,
+    /// When all that was ever granted must have run out.
+    runs_out: SinceBoot,
+    /// When all that was granted without an answer must have run out.
+    unanswered_runs_out: SinceBoot,
+    last_sent: Option<SinceBoot>,
+    is_releasing: bool,
+}
+
+/// Everything granted to one life of an upstream.
+#[derive(Clone, Debug, Default)]
+pub struct Grants {
+    granted: Vec<Granted>,
+    /// When all that an earlier run of this process granted must have run out.
+    earlier_runs_out: SinceBoot,
+}
+
+impl Grants {
+    /// Nothing granted by this run of the process to an upstream that an
+    /// earlier run may have granted something.
+    pub fn after_restart(settings: &GrantSettings, now: SinceBoot) -> Self {
+        Self {
+            granted: Vec::new(),
+            earlier_runs_out: latest_end(settings, settings.hold, now),
+        }
+    }
+
+    /// Follows the map: ranges that this life owns, under the fences they have
+    /// now. Ranges that are no longer owned are dropped; they were released or
+    /// the lease had ended before somebody took them.
+    pub fn follow<'a>(&mut self, owned: impl IntoIterator<Item = &'a Assignment>) {
+        let mut next = Vec::new();
+        for assignment in owned {
+            let mut uncovered = vec![assignment.range];
+            for old in &self.granted {
+                if old.fence != assignment.fence {
+                    continue;
+                }
+                let Some(range) = old.range.shared(&assignment.range) else {
+                    continue;
+                };
+                uncovered = uncovered
+                    .iter()
+                    .flat_map(|left| left.without(&range))
+                    .collect();
+                next.push(Granted {
+                    range,
+                    ..old.clone()
+                });
+            }
+            next.extend(uncovered.into_iter().map(|range| Granted {
+                range,
+                fence: assignment.fence,
+                handover: assignment.handover.clone(),
+                confirmed_until: None,
+                runs_out: SinceBoot::ZERO,
+                unanswered_runs_out: SinceBoot::ZERO,
+                last_sent: None,
+                is_releasing: false,
+            }));
+        }
+        self.granted = next;
+    }
+
+    /// Whether the upstream serves a key now.
+    pub fn serves(&self, key: Key, now: SinceBoot) -> bool {
+        self.granted.iter().any(|g| {
+            g.range.contains(key)
+                && !g.is_releasing
+                && g.confirmed_until.is_some_and(|end| now < end)
+        })
+    }
+
+    /// Whether any range is granted or about to be.
+    pub fn is_empty(&self) -> bool {
+        self.granted.is_empty()
+    }
+
+    /// The grants to send now, given when the lease ends.
+    pub fn due(
+        &mut self,
+        settings: &GrantSettings,
+        lease_end: SinceBoot,
+        now: SinceBoot,
+    ) -> Vec<GrantCall> {
+        let Some(hold) = hold_within(settings, lease_end, now) else {
+            return Vec::new();
+        };
+        let mut calls = Vec::new();
+        for g in &mut self.granted {
+            let is_due = g
+                .last_sent
+                .is_none_or(|sent| now.saturating_sub(sent) >= settings.renew_interval);
+            if g.is_releasing || !is_due {
+                continue;
+            }
+            let ends = latest_end(settings, hold, now);
+            g.last_sent = Some(now);
+            g.runs_out = g.runs_out.max(ends);
+            calls.push(GrantCall {
+                range: g.range,
+                fence: g.fence,
+                hold,
+                handover: g.handover.clone().filter(|_| g.confirmed_until.is_none()),
+            });
+        }
+        calls
+    }
+
+    /// Takes the answer to a grant that was sent at `sent`.
+    pub fn answered(
+        &mut self,
+        call: &GrantCall,
+        reply: GrantReply,
+        settings: &GrantSettings,
+        sent: SinceBoot,
+    ) {
+        let of_call = |g: &&mut Granted| g.fence == call.fence && call.range.overlaps(&g.range);
+        for g in self.granted.iter_mut().filter(of_call) {
+            match reply {
+                GrantReply::Granted => g.confirmed_until = Some(sent + call.hold),
+                GrantReply::FenceSeen | GrantReply::Refused => g.confirmed_until = None,
+                GrantReply::Unanswered => {
+                    let ends = latest_end(settings, call.hold, sent);
+                    g.unanswered_runs_out = g.unanswered_runs_out.max(ends);
+                    // Sent again at the next look.
+                    g.last_sent = None;
+                }
+            }
+        }
+    }
+
+    /// Begins to release the parts of `range` that are granted; nothing is
+    /// served on them any more.
+    pub fn begin_release(&mut self, range: KeyRange) -> Vec<ReleaseCall> {
+        let mut next = Vec::with_capacity(self.granted.len() + 2);
+        let mut calls = Vec::new();
+        for g in self.granted.drain(..) {
+            let Some(shared) = g.range.shared(&range) else {
+                next.push(g);
+                continue;
+            };
+            next.extend(g.range.without(&shared).map(|rest| Granted {
+                range: rest,
+                ..g.clone()
+            }));
+            calls.push(ReleaseCall {
+                range: shared,
+                fence: g.fence,
+            });
+            next.push(Granted {
+                range: shared,
+                is_releasing: true,
+                ..g
+            });
+        }
+        self.granted = next;
+        calls
+    }
+
+    /// Takes back a release that led to nothing: the range is granted again.
+    pub fn cancel_release(&mut self, range: KeyRange) {
+        for g in self.granted.iter_mut().filter(|g| g.range.overlaps(&range)) {
+            g.is_releasing = false;
+            g.last_sent = None;
+            g.confirmed_until = None;
+        }
+    }
+
+    /// From when a range that is being released may be given on.
+    pub fn free_from(&self, range: KeyRange, reply: &ReleaseReply) -> SinceBoot {
+        let overlapping = self.granted.iter().filter(|g| g.range.overlaps(&range));
+        let ends = overlapping.map(|g| match reply {
+            ReleaseReply::Released { .. } => g.unanswered_runs_out,
+            ReleaseReply::Unanswered => g.runs_out,
+        });
+        ends.max().unwrap_or_default().max(self.earlier_runs_out)
+    }
+
+    /// When every grant must have run out.
+    pub fn runs_out(&self) -> SinceBoot {
+        let ends = self.granted.iter().map(|g| g.runs_out).max();
+        ends.unwrap_or_default().max(self.earlier_runs_out)
+    }
+}
+
+/// The longest hold that ends with the lease on the slowest clock; none when
+/// there is no time left that is worth a call.
+pub fn hold_within(
+    settings: &GrantSettings,
+    lease_end: SinceBoot,
+    now: SinceBoot,
+) -> Option<Duration> {
+    let left = lease_end
+        .checked_sub(now)?
+        .checked_sub(settings.arrival_slack)?;
+    let hold = left.div_f64(1.0 + settings.clock_drift).min(settings.hold);
+    (hold >= settings.arrival_slack).then_some(hold)
+}
+
+/// When a grant that was sent at `sent` has run out on the slowest clock.
+fn latest_end(settings: &GrantSettings, hold: Duration, sent: SinceBoot) -> SinceBoot {
+    sent + settings.arrival_slack + hold.mul_f64(1.0 + settings.clock_drift)
+}
--- /dev/null
+++ b/crates/ranges/src/keeper/moving.rs
@@ -0,0 +1,254 @@
+//! Gives own ranges to others: when the upstream or the node ends, to members
+//! that joined, and when this upstream is busier than others.
+
+use super::Keeper;
+use super::coordinate::owner_of;
+use crate::balance::{self, Candidate};
+use crate::grants::{Grantee, ReleaseCall, ReleaseReply};
+use crate::map::{KeyRange, Owner, RangeMap, Transfer};
+use ibiscove_mesh::Member;
+use ibiscove_store::{Table, Transaction};
+use ibiscove_types::{BootClock, Clock, NodeName};
+use smol::future::FutureExt;
+use std::time::Duration;
+
+/// Time between two looks at the load.
+const LOOK_INTERVAL: Duration = Duration::from_millis(500);
+/// Time after a move before the next one, so that its effect shows first. The
+/// load is known by windows of one second.
+const SETTLE: Duration = Duration::from_millis(1_500);
+
+impl<T: Table, G: Grantee, C: Clock + BootClock> Keeper<T, G, C> {
+    pub(super) async fn move_ranges(self) {
+        loop {
+            let woken = self.inner.wake.listen();
+            let moved = self.move_once().await;
+            let pause = if moved { SETTLE } else { LOOK_INTERVAL };
+            self.inner.clock.sleep(pause).or(woken).await;
+        }
+    }
+
+    async fn move_once(&self) -> bool {
+        let (life, is_leaving) = {
+            let state = self.state();
+            (state.life.clone(), state.is_leaving)
+        };
+        let Some(life) = life else {
+            return self.give_up_all().await;
+        };
+        let own = Owner {
+            node: NodeName::clone(&self.inner.node),
+            life,
+        };
+        if !is_leaving && self.adopt(&own).await {
+            return false;
+        }
+        let Some(map) = self.map().map(|known| known.map) else {
+            return false;
+        };
+        let moves = match is_leaving {
+            true => self.all_moves(&map, &own),
+            false => self
+                .joiners(&map, &own)
+                .or_else(|| self.shed(&map, &own))
+                .into_iter()
+                .collect(),
+        };
+        let any = !moves.is_empty();
+        self.carry_out(moves).await;
+        any
+    }
+
+    /// Takes the ranges of this upstream's earlier life, under new fences.
+    async fn adopt(&self, own: &Owner) -> bool {
+        let is_held = {
+            let state = self.state();
+            let now = self.inner.clock.since_boot();
+            self.lease_end(&state).is_some_and(|end| now < end)
+        };
+        let Some(known) = self.map().filter(|_| is_held) else {
+            return false;
+        };
+        let plan = |map: &RangeMap| {
+            let transfers: Vec<_> = map
+                .owned_by_node(&own.node)
+                .filter(|a| a.owner.as_ref() != Some(own))
+                .map(|a| Transfer {
+                    range: a.range,
+                    to: Some(own.clone()),
+                    handover: None,
+                })
+                .collect();
+            (!transfers.is_empty()).then_some(transfers)
+        };
+        if plan(&known.map).is_none() {
+            return false;
+        }
+        if let Err(err) = self.change_map(Transaction::default, plan).await {
+            log::warn!("ranges of the upstream's earlier life are not taken yet: {err}");
+        }
+        true
+    }
+
+    /// The upstream is gone: its ranges go to others once nothing that it was
+    /// granted can last.
+    async fn give_up_all(&self) -> bool {
+        let Some(known) = self.map() else {
+            return false;
+        };
+        let owned = |map: &RangeMap| -> Vec<KeyRange> {
+            map.owned_by_node(&self.inner.node)
+                .map(|a| a.range)
+                .collect()
+        };
+        if owned(&known.map).is_empty() {
+            return false;
+        }
+        self.sleep_until_run_out().await;
+        let targets: Vec<Owner> = self.candidates().iter().filter_map(owner_of).collect();
+        if self.state().life.is_some() || targets.is_empty() {
+            return false;
+        }
+        let plan = |map: &RangeMap| {
+            let divided = balance::divide(map, &owned(map), &targets);
+            let transfers: Vec<_> = divided
+                .into_iter()
+                .map(|(range, owner)| Transfer {
+                    range,
+                    to: Some(owner),
+                    handover: None,
+                })
+                .collect();
+            (!transfers.is_empty()).then_some(transfers)
+        };
+        match self.change_map(Transaction::default, plan).await {
+            Ok(changed) => changed,
+            Err(err) => {
+                log::warn!("ranges of an upstream that is gone stay with it for now: {err}");
+                false
+            }
+        }
+    }
+
+    async fn sleep_until_run_out(&self) {
+        let now = self.inner.clock.since_boot();
+        let runs_out = self.state().grants.runs_out();
+        self.inner.clock.sleep(runs_out.saturating_sub(now)).await;
+    }
+
+    fn all_moves(&self, map: &RangeMap, own: &Owner) -> Vec<(KeyRange, Owner)> {
+        let targets: Vec<Owner> = self.candidates().iter().filter_map(owner_of).collect();
+        let ranges: Vec<KeyRange> = map.owned_by(own).map(|a| a.range).collect();
+        balance::divide(map, &ranges, &targets)
+    }
+
+    fn joiners(&self, map: &RangeMap, own: &Owner) -> Option<(KeyRange, Owner)> {
+        let members = self.candidates();
+        let joiner = members
+            .iter()
+            .filter_map(owner_of)
+            .find(|owner| map.owned_by_node(&owner.node).next().is_none())?;
+        let share = balance::share_for_joiner(map, own, members.len() + 1)?;
+        Some((share, joiner))
+    }
+
+    fn shed(&self, map: &RangeMap, own: &Owner) -> Option<(KeyRange, Owner)> {
+        let others: Vec<Candidate> = self.candidates().iter().filter_map(candidate).collect();
+        let now = self.inner.clock.now();
+        let mut state = self.state();
+        state.load.roll(now);
+        let own = Candidate {
+            owner: own.clone(),
+            utilisation: state.utilisation,
+        };
+        balance::shed(map, &own, &state.load, &others)
+    }
+
+    async fn carry_out(&self, moves: Vec<(KeyRange, Owner)>) {
+        let tasks: Vec<_> = moves
+            .into_iter()
+            .map(|(range, to)| {
+                let keeper = self.clone();
+                smol::spawn(async move { keeper.hand_over(range, to).await })
+            })
+            .collect();
+        for task in tasks {
+            task.await;
+        }
+    }
+
+    /// Releases a range and writes its new owner.
+    async fn hand_over(&self, range: KeyRange, to: Owner) {
+        let calls = self.state().grants.begin_release(range);
+        let mut transfers = Vec::new();
+        for call in calls {
+            let range = call.range;
+            let reply = self.release(call).await;
+            let free_from = self.state().grants.free_from(range, &reply);
+            let now = self.inner.clock.since_boot();
+            self.inner.clock.sleep(free_from.saturating_sub(now)).await;
+            let handover = match reply {
+                ReleaseReply::Released { handover } => handover,
+                ReleaseReply::Unanswered => None,
+            };
+            transfers.push(Transfer {
+                range,
+                to: Some(to.clone()),
+                handover,
+            });
+        }
+        self.state().pending.extend(transfers);
+        self.write_pending().await;
+    }
+
+    async fn release(&self, call: ReleaseCall) -> ReleaseReply {
+        let limit = self.inner.settings.grants.release_timeout;
+        let timeout = async {
+            self.inner.clock.sleep(limit).await;
+            ReleaseReply::Unanswered
+        };
+        let reply = self.inner.grantee.release(call.clone()).or(timeout).await;
+        if reply == ReleaseReply::Unanswered {
+            metrics::counter!("ibiscove_release_failures_total").increment(1);
+            log::warn!(service = &*self.inner.service, first = call.range.first,
+                last = call.range.last, fence = call.fence; "a release was not answered");
+        }
+        reply
+    }
+
+    /// Writes the transfers that are ready, all in one transaction. They were
+    /// released, so they are tried until the map says that they are done.
+    async fn write_pending(&self) {
+        let _batch = self.inner.batch.lock().await;
+        let transfers = std::mem::take(&mut self.state().pending);
+        if transfers.is_empty() {
+            return;
+        }
+        let is_mine = |map: &RangeMap, transfer: &&Transfer| {
+            let owner = &map.locate(transfer.range.first).owner;
+            owner
+                .as_ref()
+                .is_some_and(|owner| owner.node == self.inner.node)
+        };
+        let plan = |map: &RangeMap| {
+            let left: Vec<_> = transfers
+                .iter()
+                .filter(|t| is_mine(map, t))
+                .cloned()
+                .collect();
+            (!left.is_empty()).then_some(left)
+        };
+        while let Err(err) = self.change_map(Transaction::default, plan).await {
+            log::warn!("released ranges are not written yet: {err}");
+            self.pause().await;
+        }
+    }
+}
+
+fn candidate(member: &Member) -> Option<Candidate> {
+    let upstream = member.upstream.as_ref()?;
+    Some(Candidate {
+        owner: owner_of(member)?,
+        utilisation: f64::from(upstream.load) / f64::from(upstream.slots.max(1)),
+    })
+}
--- a/crates/replay/tests/recorded.rs
+++ b/crates/replay/tests/recorded.rs
@@ -1,9 +1,9 @@
 //! What a node records can be replayed.
 
 use ibiscove_node::{Node, NodeSettings};
-use ibiscove_platform::MemoryPlatform;
 use ibiscove_replay::{Event, Promise, Trace, check, replay};
 use ibiscove_standin::{Upstream, UpstreamSettings};
+use ibiscove_store::MemoryPlatform;
 use ibiscove_types::SystemClock;
 use std::time::{Duration, Instant};
 use trillium_client::Client;
--- /dev/null
+++ b/crates/router/src/settings.rs
@@ -0,0 +1,75 @@
+//! Settings of a node.
+
+use ibiscove_proxy::{BesideSettings, EntrySettings, GateSettings};
+use ibiscove_ranges::KeeperSettings;
+use ibiscove_types::{DataCentre, NodeName, ServiceName};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+/// Addresses of a node.
+#[derive(Clone, Copy, Debug)]
+pub struct RouterAddrs {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For other nodes: forwarded requests, configuration and maps.
+    pub peers: SocketAddr,
+    /// For heartbeats of other nodes.
+    pub heartbeats: SocketAddr,
+    /// Of the upstream beside the node.
+    pub upstream: SocketAddr,
+    /// For the metrics page; none leaves it out.
+    pub metrics: Option<SocketAddr>,
+}
+
+/// Settings of a node.
+#[derive(Clone, Debug)]
+pub struct RouterSettings {
+    /// The node's name; a restarted process keeps it.
+    pub node: NodeName,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// The service of the upstream beside it.
+    pub service: Option<ServiceName>,
+    /// Its addresses.
+    pub addrs: RouterAddrs,
+    /// Time between two heartbeats to one member of a small mesh.
+    pub heartbeat_interval: Duration,
+    /// How long a leaving node goes on at least, so that callers and other
+    /// nodes have turned away: two readiness checks of one second.
+    pub leave_at_least: Duration,
+    /// How long a leaving node goes on at most.
+    pub leave_at_most: Duration,
+    /// Of the entry.
+    pub entry: EntrySettings,
+    /// Of the gate.
+    pub gate: GateSettings,
+    /// Of the upstream's announcements.
+    pub beside: BesideSettings,
+    /// Of the ownership of keys.
+    pub keeper: KeeperSettings,
+}
+
+impl Default for RouterSettings {
+    fn default() -> Self {
+        let any = SocketAddr::new(Ipv4Addr::LOCALHOST.into(), 0);
+        Self {
+            node: "node".into(),
+            data_centre: "default".into(),
+            service: None,
+            addrs: RouterAddrs {
+                callers: any,
+                peers: any,
+                heartbeats: any,
+                upstream: any,
+                metrics: None,
+            },
+            heartbeat_interval: Duration::from_millis(400),
+            leave_at_least: Duration::from_millis(2_600),
+            leave_at_most: Duration::from_millis(5_400),
+            entry: EntrySettings::default(),
+            gate: GateSettings::default(),
+            beside: BesideSettings::default(),
+            keeper: KeeperSettings::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/routing/src/admission.rs
@@ -0,0 +1,197 @@
+//! Who runs at an upstream now, who waits and who is refused.
+//!
+//! The gate is the only way to its upstream, so it knows everything that runs
+//! and waits there. A request waits only while it can still end within its
+//! deadline; what cannot is refused at once, with the time after which there is
+//! room. Those that can still meet their target go before those that cannot,
+//! then the more urgent priority, then the earlier target.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+/// Rank of a request: 0 is the most urgent.
+pub type Priority = u8;
+
+/// A request at a gate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ask {
+    /// Its rank.
+    pub priority: Priority,
+    /// When it is answered in full worth to its caller.
+    pub target: Instant,
+    /// When nobody waits for it any more.
+    pub deadline: Instant,
+    /// How long it usually takes at the upstream.
+    pub estimate: Duration,
+}
+
+/// Names a request that waits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Ticket {
+    misses_target: bool,
+    priority: Priority,
+    target: Instant,
+    number: u64,
+}
+
+/// What becomes of a request that asks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It runs now.
+    Run,
+    /// It waits under this ticket.
+    Wait(Ticket),
+    /// It cannot be served in time.
+    Refuse {
+        /// When there is room again.
+        retry_after: Duration,
+    },
+}
+
+/// A request that left the queue.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Left<T> {
+    /// It runs now.
+    Run(T),
+    /// It can no longer be served in time.
+    Refuse(T, Duration),
+}
+
+/// Requests that run or wait at one upstream.
+#[derive(Debug)]
+pub struct Admission<T> {
+    concurrency: usize,
+    running: usize,
+    /// Estimated work of all that run, each counted whole.
+    running_work: Duration,
+    waiting: BTreeMap<Ticket, (Ask, T)>,
+    next_number: u64,
+}
+
+impl<T> Admission<T> {
+    /// An upstream that works on `concurrency` requests at a time.
+    pub fn new(concurrency: usize) -> Self {
+        Self {
+            concurrency: concurrency.max(1),
+            running: 0,
+            running_work: Duration::ZERO,
+            waiting: BTreeMap::new(),
+            next_number: 0,
+        }
+    }
+
+    /// Sets how many requests the upstream works on at a time.
+    pub fn set_concurrency(&mut self, concurrency: usize) {
+        self.concurrency = concurrency.max(1);
+    }
+
+    /// Requests that run or wait.
+    pub fn load(&self) -> usize {
+        self.running + self.waiting.len()
+    }
+
+    /// Asks for a request. `item` is kept while it waits.
+    pub fn offer(&mut self, ask: Ask, item: impl FnOnce() -> T, now: Instant) -> Verdict {
+        if self.running < self.concurrency && self.waiting.is_empty() {
+            if now + ask.estimate.mul_f64(HOPELESS_SHARE) > ask.deadline {
+                return Verdict::Refuse {
+                    retry_after: Duration::ZERO,
+                };
+            }
+            self.start(&ask);
+            return Verdict::Run;
+        }
+        let ticket = self.ticket(&ask, now);
+        let wait = self.wait_before(&ticket);
+        if now + wait + ask.estimate > ask.deadline {
+            return Verdict::Refuse {
+                retry_after: self.drained_in(),
+            };
+        }
+        self.next_number += 1;
+        self.waiting.insert(ticket, (ask, item()));
+        Verdict::Wait(ticket)
+    }
+
+    /// A request that waits was given up.
+    pub fn cancel(&mut self, ticket: &Ticket) -> Option<T> {
+        self.waiting.remove(ticket).map(|(_, item)| item)
+    }
+
+    /// A request that ran has ended; gives those that leave the queue.
+    pub fn ended(&mut self, estimate: Duration, now: Instant) -> Vec<Left<T>> {
+        self.running = self.running.saturating_sub(1);
+        self.running_work = self.running_work.saturating_sub(estimate);
+        let mut left = Vec::new();
+        while self.running < self.concurrency {
+            let Some((_, (ask, item))) = self.waiting.pop_first() else {
+                break;
+            };
+            if now + ask.estimate.mul_f64(HOPELESS_SHARE) > ask.deadline {
+                left.push(Left::Refuse(item, self.drained_in()));
+                continue;
+            }
+            self.start(&ask);
+            left.push(Left::Run(item));
+        }
+        left
+    }
+
+    /// Requests that can no longer end in time, however soon they start.
+    pub fn hopeless(&mut self, now: Instant) -> Vec<(T, Duration)> {
+        let retry_after = self.drained_in();
+        let late = |ask: &Ask| now + ask.estimate > ask.deadline;
+        let tickets: Vec<Ticket> = self
+            .waiting
+            .iter()
+            .filter(|(_, (ask, _))| late(ask))
+            .map(|(ticket, _)| *ticket)
+            .collect();
+        tickets
+            .iter()
+            .filter_map(|ticket| self.cancel(ticket))
+            .map(|item| (item, retry_after))
+            .collect()
+    }
+
+    /// How long until all that runs and waits now has ended.
+    pub fn drained_in(&self) -> Duration {
+        let waiting: Duration = self.waiting.values().map(|(ask, _)| ask.estimate).sum();
+        self.spread(waiting + self.running_work / 2)
+    }
+
+    fn start(&mut self, ask: &Ask) {
+        self.running += 1;
+        self.running_work += ask.estimate;
+    }
+
+    fn ticket(&self, ask: &Ask, now: Instant) -> Ticket {
+        let in_time = Ticket {
+            misses_target: false,
+            priority: ask.priority,
+            target: ask.target,
+            number: self.next_number,
+        };
+        let done = now + self.wait_before(&in_time) + ask.estimate;
+        Ticket {
+            misses_target: done > ask.target,
+            ..in_time
+        }
+    }
+
+    /// How long a request with this ticket would wait.
+    fn wait_before(&self, ticket: &Ticket) -> Duration {
+        let ahead = self.waiting.range(..ticket);
+        let ahead: Duration = ahead.map(|(_, (ask, _))| ask.estimate).sum();
+        // Those that run have on average half of their work left.
+        self.spread(ahead + self.running_work / 2)
+    }
+
+    fn spread(&self, work: Duration) -> Duration {
+        work.div_f64(self.concurrency as f64)
+    }
+}
+
+/// Share of the usual time below which a request is not worth starting. Half
+/// of the requests take less than the usual time.
+const HOPELESS_SHARE: f64 = 0.6;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -5,6 +5,7 @@
 //! here, and so each can be tested and measured by itself. The node crate
 //! wires them together. `docs/requests.md` gives for each the ways weighed.
 
+pub mod admission;
 pub mod choice;
 pub mod deadline;
 pub mod dedup;
@@ -14,6 +15,7 @@
 pub mod limit;
 pub mod meter;
 pub mod outcomes;
+pub mod placement;
 pub mod planner;
 pub mod queue;
 pub mod retry;
--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -28,6 +28,8 @@
     pub attempts: u32,
     /// Time left.
     pub remaining: Duration,
+    /// Whether another upstream, not tried yet, may take the request.
+    pub has_others: bool,
 }
 
 /// What to do after an attempt failed.
@@ -54,6 +56,14 @@
     if !safe {
         return Next::Stop;
     }
+    if failure.reason == Reason::Overloaded && failure.has_others {
+        // The gate refused before the upstream saw anything, and the next one
+        // may have room.
+        return Next::Again {
+            wait: Duration::ZERO,
+            charged: false,
+        };
+    }
     let charged = match failure.reason {
         Reason::NotOwner
         | Reason::Moving
@@ -64,6 +74,7 @@
         | Reason::PeerLost
         | Reason::UpstreamUnreachable
         | Reason::UpstreamLost
+        | Reason::UpstreamRefused
         | Reason::NoUpstream
         | Reason::Sealed => true,
         _ => return Next::Stop,
--- a/crates/spread/examples/spread_time.rs
+++ b/crates/spread/examples/spread_time.rs
@@ -10,9 +10,9 @@
 use hdrhistogram::Histogram;
 use ibiscove_config::change::{ChangeAnswer, ChangeRequest, ConfigKind};
 use ibiscove_config::store::{ConfigStore, Known, Written};
-use ibiscove_platform::MemoryPlatform;
 use ibiscove_spread::{Entry, Replica, SpreadSettings, pass_on};
 use ibiscove_standin::FaultyPlatform;
+use ibiscove_store::MemoryPlatform;
 use ibiscove_types::rows::{node_key, service_key};
 use ibiscove_types::{Acquired, Incarnation, ServiceKind, ServiceRow, SlotGrant, SystemClock};
 use ibiscove_wire::messages::{Request, Response};
--- a/crates/spread/src/snapshot.rs
+++ b/crates/spread/src/snapshot.rs
@@ -6,7 +6,7 @@
 //! peers then heal what changed since.
 
 use crate::{Entry, Replica, metrics};
-use ibiscove_platform::{Objects, TableError};
+use ibiscove_store::{Objects, TableError};
 use ibiscove_types::RowVersion;
 use ibiscove_types::hash::content_digest;
 use serde::{Deserialize, Serialize};
--- a/crates/spread/src/table.rs
+++ b/crates/spread/src/table.rs
@@ -5,7 +5,7 @@
 //! writer stopped before it told anybody.
 
 use crate::{Entry, Replica, SpreadSettings, metrics, push_rows, snapshot};
-use ibiscove_platform::{Objects, Table, TableError};
+use ibiscove_store::{Objects, Table, TableError};
 use ibiscove_types::rows::{CONFIG_PREFIX, NODE_PREFIX, SERVICE_PREFIX, node_key};
 use ibiscove_types::{Clock, Incarnation, Map, RowVersion, hash};
 use ibiscove_wire::Peers;
--- a/crates/spread/tests/all/cluster.rs
+++ b/crates/spread/tests/all/cluster.rs
@@ -2,9 +2,9 @@
 //! delays and damages them as a seed says.
 
 use crate::support::{StepClock, addr, live};
-use ibiscove_platform::MemoryPlatform;
 use ibiscove_spread::{Entry, Replica, SpreadSettings, answer, heal, pass_on, run, watch_table};
 use ibiscove_standin::FaultyPlatform;
+use ibiscove_store::MemoryPlatform;
 use ibiscove_types::Incarnation;
 use ibiscove_wire::messages::{Request, Response};
 use ibiscove_wire::{PeerError, Peers};
--- a/crates/spread/tests/all/table.rs
+++ b/crates/spread/tests/all/table.rs
@@ -2,8 +2,8 @@
 
 use crate::cluster::{Cluster, Weather};
 use crate::support::{config_entry, live, node, node_entry};
-use ibiscove_platform::{Objects, Table, Transaction};
 use ibiscove_spread::{Entry, Replica, snapshot};
+use ibiscove_store::{Objects, Table, Transaction};
 use ibiscove_types::NodeState;
 
 async fn write(table: &impl Table, entry: &Entry) -> u64 {
@@ -15,7 +15,7 @@
     let mut txn = Transaction::default();
     txn.replace(&entry.key, version, entry.body.to_vec());
     match table.commit(txn).await.expect("up") {
-        ibiscove_platform::Commit::Done(versions) => versions[0],
+        ibiscove_store::Commit::Done(versions) => versions[0],
         conflict => panic!("{conflict:?}"),
     }
 }
--- a/crates/standin/src/bin/ibiscove-standin-platform.rs
+++ b/crates/standin/src/bin/ibiscove-standin-platform.rs
@@ -2,7 +2,7 @@
 //!
 //! It ends by itself, so that a forgotten one does not stay.
 
-use ibiscove_platform::MemoryPlatform;
+use ibiscove_store::MemoryPlatform;
 use std::net::{SocketAddr, TcpListener};
 use std::process::ExitCode;
 use std::time::Duration;
--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -1,6 +1,6 @@
 //! Faults in front of a platform.
 
-use ibiscove_platform::{Commit, Objects, RawRow, Table, TableError, Transaction};
+use ibiscove_store::{Commit, Objects, RawRow, Table, TableError, Transaction};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -1,7 +1,7 @@
 //! The platform's HTTP side, from memory.
 
-use ibiscove_platform::http::{CommitBody, RowBody, TransactionBody, etag};
-use ibiscove_platform::{Commit, Condition, Objects, Table, TableError, Transaction, Write};
+use ibiscove_store::http::{CommitBody, RowBody, TransactionBody, etag};
+use ibiscove_store::{Commit, Condition, Objects, Table, TableError, Transaction, Write};
 use std::net::TcpListener;
 use trillium::{Conn, Handler, KnownHeaderName, Method, Status};
 use trillium_smol::async_net;
--- a/crates/platform/tests/contract.rs
+++ b/crates/store/tests/contract.rs
@@ -3,8 +3,8 @@
 //! Another implementation is put under the suite by adding it to
 //! [`Implementation`].
 
-use ibiscove_platform::http::{HttpPlatform, HttpSettings};
-use ibiscove_platform::{Commit, MemoryPlatform, Objects, Table, Transaction};
+use ibiscove_store::http::{HttpPlatform, HttpSettings};
+use ibiscove_store::{Commit, MemoryPlatform, Objects, Table, Transaction};
 use std::net::{Ipv4Addr, TcpListener};
 use std::time::Duration;
 use yare::parameterized;
@@ -131,7 +131,7 @@
         let first = put(&table, "a", None, "1").await;
         let mut txn = Transaction::default();
         txn.require("a", Some(first));
-        txn.writes.push(ibiscove_platform::Write {
+        txn.writes.push(ibiscove_store::Write {
             key: "a".to_owned(),
             body: None,
         });
--- a/crates/platform/tests/http_faults.rs
+++ b/crates/store/tests/http_faults.rs
@@ -1,9 +1,9 @@
 //! The HTTP adapter when the platform fails: it says `Unavailable` only when
 //! nothing was done, and `Unanswered` whenever something may have been.
 
-use ibiscove_platform::http::{HttpPlatform, HttpSettings};
-use ibiscove_platform::{MemoryPlatform, Objects, Table, TableError, Transaction};
 use ibiscove_standin::{Faults, FaultyPlatform};
+use ibiscove_store::http::{HttpPlatform, HttpSettings};
+use ibiscove_store::{MemoryPlatform, Objects, Table, TableError, Transaction};
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::time::Duration;
--- a/crates/types/src/clock.rs
+++ b/crates/types/src/clock.rs
@@ -19,6 +19,18 @@
     fn sleep(&self, duration: Duration) -> impl Future<Output = ()> + Send;
 }
 
+/// A steady clock that goes on while the machine is suspended.
+///
+/// Leases are measured on it: [`Instant`] stands still while a machine is
+/// suspended, and a holder that wakes would believe a lease that has run out.
+pub trait BootClock: Clone + Send + Sync + 'static {
+    /// Time since the machine started, suspensions included.
+    fn since_boot(&self) -> SinceBoot;
+}
+
+/// A reading of a [`BootClock`]. Readings of two machines cannot be compared.
+pub type SinceBoot = Duration;
+
 /// The machine's own clock.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct SystemClock;
@@ -36,3 +48,10 @@
         smol::Timer::after(duration).await;
     }
 }
+
+impl BootClock for SystemClock {
+    fn since_boot(&self) -> SinceBoot {
+        let reading = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+        Duration::new(reading.tv_sec as u64, reading.tv_nsec as u32)
+    }
+}
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -3,6 +3,7 @@
 //! The house style asks for aliases in place of newtypes; see
 //! `docs/house-style.md`.
 
+use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
 /// One run of a node process. A restarted process is another incarnation, so
@@ -31,3 +32,19 @@
 
 /// Identifies one request of a caller across nodes and repeats.
 pub type RequestId = Arc<str>;
+
+/// Name of a node, from its settings. A restarted process has the same name.
+pub type NodeName = Arc<str>;
+
+/// A key of a service whose keys are divided in ranges.
+pub type Key = u16;
+
+/// One life of an upstream: a restart under the same id is another life, which
+/// knows nothing of what the earlier one held.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct UpstreamLife {
+    /// The id that the upstream gave itself.
+    pub id: Arc<str>,
+    /// When it started, in milliseconds since the Unix epoch.
+    pub born_ms: i64,
+}
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -14,8 +14,11 @@
 pub mod outcome;
 pub mod rows;
 
-pub use clock::{Clock, SystemClock};
-pub use ids::{DataCentre, Fence, Incarnation, Region, RequestId, RowVersion, ServiceName, Slot};
+pub use clock::{BootClock, Clock, SinceBoot, SystemClock};
+pub use ids::{
+    DataCentre, Fence, Incarnation, Key, NodeName, Region, RequestId, RowVersion, ServiceName,
+    Slot, UpstreamLife,
+};
 pub use map::{Map, Owner};
 pub use outcome::{Outcome, Reason};
 pub use rows::{
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -105,6 +105,12 @@
     UpstreamUnreachable => "upstream-unreachable", 502;
     /// The upstream's answer was lost.
     UpstreamLost => "upstream-lost", 502;
+    /// The upstream said that it did not run the request.
+    UpstreamRefused => "upstream-refused", 503;
+    /// This node has no configuration yet.
+    NoConfiguration => "no-configuration", 503;
+    /// The request's body is longer than the limit.
+    BodyTooLarge => "body-too-large", 413;
     /// The upstream refused the fence.
     FenceRefused => "fence-refused", 409;
     /// A repeat of a request whose outcome is not known here.
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -2936,3 +2936,387 @@
   }
 }
 
+//
+// UpstreamPresence
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct UpstreamPresence {
+  pub id: String,
+  pub born_ms: i64,
+  pub draining: bool,
+  pub slots: i32,
+  pub load: i32,
+  pub service_time_us: i32,
+  pub cold_left_ms: i32,
+}
+
+impl UpstreamPresence {
+  pub fn new(id: String, born_ms: i64, draining: bool, slots: i32, load: i32, service_time_us: i32, cold_left_ms: i32) -> UpstreamPresence {
+    UpstreamPresence {
+      id,
+      born_ms,
+      draining,
+      slots,
+      load,
+      service_time_us,
+      cold_left_ms,
+    }
+  }
+}
+
+impl TSerializable for UpstreamPresence {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<UpstreamPresence> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<String> = None;
+    let mut f_2: Option<i64> = None;
+    let mut f_3: Option<bool> = None;
+    let mut f_4: Option<i32> = None;
+    let mut f_5: Option<i32> = None;
+    let mut f_6: Option<i32> = None;
+    let mut f_7: Option<i32> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_string()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_i64()?;
+          f_2 = Some(val);
+        },
+        3 => {
+          let val = i_prot.read_bool()?;
+          f_3 = Some(val);
+        },
+        4 => {
+          let val = i_prot.read_i32()?;
+          f_4 = Some(val);
+        },
+        5 => {
+          let val = i_prot.read_i32()?;
+          f_5 = Some(val);
+        },
+        6 => {
+          let val = i_prot.read_i32()?;
+          f_6 = Some(val);
+        },
+        7 => {
+          let val = i_prot.read_i32()?;
+          f_7 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("UpstreamPresence.id", &f_1)?;
+    verify_required_field_exists("UpstreamPresence.born_ms", &f_2)?;
+    verify_required_field_exists("UpstreamPresence.draining", &f_3)?;
+    verify_required_field_exists("UpstreamPresence.slots", &f_4)?;
+    verify_required_field_exists("UpstreamPresence.load", &f_5)?;
+    verify_required_field_exists("UpstreamPresence.service_time_us", &f_6)?;
+    verify_required_field_exists("UpstreamPresence.cold_left_ms", &f_7)?;
+    let ret = UpstreamPresence {
+      id: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      born_ms: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      draining: f_3.expect("auto-generated code should have checked for presence of required fields"),
+      slots: f_4.expect("auto-generated code should have checked for presence of required fields"),
+      load: f_5.expect("auto-generated code should have checked for presence of required fields"),
+      service_time_us: f_6.expect("auto-generated code should have checked for presence of required fields"),
+      cold_left_ms: f_7.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("UpstreamPresence");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("id", TType::String, 1))?;
+    o_prot.write_string(&self.id)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("born_ms", TType::I64, 2))?;
+    o_prot.write_i64(self.born_ms)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("draining", TType::Bool, 3))?;
+    o_prot.write_bool(self.draining)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("slots", TType::I32, 4))?;
+    o_prot.write_i32(self.slots)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("load", TType::I32, 5))?;
+    o_prot.write_i32(self.load)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("service_time_us", TType::I32, 6))?;
+    o_prot.write_i32(self.service_time_us)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("cold_left_ms", TType::I32, 7))?;
+    o_prot.write_i32(self.cold_left_ms)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
+//
+// RangeMapVersion
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct RangeMapVersion {
+  pub service_name: String,
+  pub version: i64,
+}
+
+impl RangeMapVersion {
+  pub fn new(service_name: String, version: i64) -> RangeMapVersion {
+    RangeMapVersion {
+      service_name,
+      version,
+    }
+  }
+}
+
+impl TSerializable for RangeMapVersion {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<RangeMapVersion> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<String> = None;
+    let mut f_2: Option<i64> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_string()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_i64()?;
+          f_2 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("RangeMapVersion.service_name", &f_1)?;
+    verify_required_field_exists("RangeMapVersion.version", &f_2)?;
+    let ret = RangeMapVersion {
+      service_name: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      version: f_2.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("RangeMapVersion");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("service_name", TType::String, 1))?;
+    o_prot.write_string(&self.service_name)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("version", TType::I64, 2))?;
+    o_prot.write_i64(self.version)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
+//
+// Presence
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Presence {
+  pub node: String,
+  pub incarnation: i64,
+  pub sequence: i64,
+  pub data_centre: String,
+  pub gate_port: i32,
+  pub service_name: Option<String>,
+  pub upstream: Option<UpstreamPresence>,
+  pub config_version: i64,
+  pub maps: Vec<RangeMapVersion>,
+  pub leaving: bool,
+  pub lease_version: i64,
+}
+
+impl Presence {
+  pub fn new<F6, F7>(node: String, incarnation: i64, sequence: i64, data_centre: String, gate_port: i32, service_name: F6, upstream: F7, config_version: i64, maps: Vec<RangeMapVersion>, leaving: bool, lease_version: i64) -> Presence where F6: Into<Option<String>>, F7: Into<Option<UpstreamPresence>> {
+    Presence {
+      node,
+      incarnation,
+      sequence,
+      data_centre,
+      gate_port,
+      service_name: service_name.into(),
+      upstream: upstream.into(),
+      config_version,
+      maps,
+      leaving,
+      lease_version,
+    }
+  }
+}
+
+impl TSerializable for Presence {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Presence> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<String> = None;
+    let mut f_2: Option<i64> = None;
+    let mut f_3: Option<i64> = None;
+    let mut f_4: Option<String> = None;
+    let mut f_5: Option<i32> = None;
+    let mut f_6: Option<String> = None;
+    let mut f_7: Option<UpstreamPresence> = None;
+    let mut f_8: Option<i64> = None;
+    let mut f_9: Option<Vec<RangeMapVersion>> = None;
+    let mut f_10: Option<bool> = None;
+    let mut f_11: Option<i64> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_string()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_i64()?;
+          f_2 = Some(val);
+        },
+        3 => {
+          let val = i_prot.read_i64()?;
+          f_3 = Some(val);
+        },
+        4 => {
+          let val = i_prot.read_string()?;
+          f_4 = Some(val);
+        },
+        5 => {
+          let val = i_prot.read_i32()?;
+          f_5 = Some(val);
+        },
+        6 => {
+          let val = i_prot.read_string()?;
+          f_6 = Some(val);
+        },
+        7 => {
+          let val = UpstreamPresence::read_from_in_protocol(i_prot)?;
+          f_7 = Some(val);
+        },
+        8 => {
+          let val = i_prot.read_i64()?;
+          f_8 = Some(val);
+        },
+        9 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<RangeMapVersion> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_15 = RangeMapVersion::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_15);
+          }
+          i_prot.read_list_end()?;
+          f_9 = Some(val);
+        },
+        10 => {
+          let val = i_prot.read_bool()?;
+          f_10 = Some(val);
+        },
+        11 => {
+          let val = i_prot.read_i64()?;
+          f_11 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("Presence.node", &f_1)?;
+    verify_required_field_exists("Presence.incarnation", &f_2)?;
+    verify_required_field_exists("Presence.sequence", &f_3)?;
+    verify_required_field_exists("Presence.data_centre", &f_4)?;
+    verify_required_field_exists("Presence.gate_port", &f_5)?;
+    verify_required_field_exists("Presence.config_version", &f_8)?;
+    verify_required_field_exists("Presence.maps", &f_9)?;
+    verify_required_field_exists("Presence.leaving", &f_10)?;
+    verify_required_field_exists("Presence.lease_version", &f_11)?;
+    let ret = Presence {
+      node: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      incarnation: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      sequence: f_3.expect("auto-generated code should have checked for presence of required fields"),
+      data_centre: f_4.expect("auto-generated code should have checked for presence of required fields"),
+      gate_port: f_5.expect("auto-generated code should have checked for presence of required fields"),
+      service_name: f_6,
+      upstream: f_7,
+      config_version: f_8.expect("auto-generated code should have checked for presence of required fields"),
+      maps: f_9.expect("auto-generated code should have checked for presence of required fields"),
+      leaving: f_10.expect("auto-generated code should have checked for presence of required fields"),
+      lease_version: f_11.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("Presence");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("node", TType::String, 1))?;
+    o_prot.write_string(&self.node)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("incarnation", TType::I64, 2))?;
+    o_prot.write_i64(self.incarnation)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("sequence", TType::I64, 3))?;
+    o_prot.write_i64(self.sequence)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("data_centre", TType::String, 4))?;
+    o_prot.write_string(&self.data_centre)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("gate_port", TType::I32, 5))?;
+    o_prot.write_i32(self.gate_port)?;
+    o_prot.write_field_end()?;
+    if let Some(ref fld_var) = self.service_name {
+      o_prot.write_field_begin(&TFieldIdentifier::new("service_name", TType::String, 6))?;
+      o_prot.write_string(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    if let Some(ref fld_var) = self.upstream {
+      o_prot.write_field_begin(&TFieldIdentifier::new("upstream", TType::Struct, 7))?;
+      fld_var.write_to_out_protocol(o_prot)?;
+      o_prot.write_field_end()?
+    }
+    o_prot.write_field_begin(&TFieldIdentifier::new("config_version", TType::I64, 8))?;
+    o_prot.write_i64(self.config_version)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("maps", TType::List, 9))?;
+    o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, self.maps.len() as i32))?;
+    for e in &self.maps {
+      e.write_to_out_protocol(o_prot)?;
+    }
+    o_prot.write_list_end()?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("leaving", TType::Bool, 10))?;
+    o_prot.write_bool(self.leaving)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("lease_version", TType::I64, 11))?;
+    o_prot.write_i64(self.lease_version)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -233,3 +233,44 @@
   1: required i64 id
   2: required Response response
 }
+
+// The upstream beside a node, as its gate sees it.
+struct UpstreamPresence {
+  1: required string id
+  // When it started, in milliseconds since the Unix epoch; tells two lives
+  // under one id apart.
+  2: required i64 born_ms
+  3: required bool draining
+  4: required i32 slots
+  // Requests that run or wait at the gate.
+  5: required i32 load
+  // Usual time of a request at the upstream, in microseconds.
+  6: required i32 service_time_us
+  // How much longer it is slow after its start, in milliseconds.
+  7: required i32 cold_left_ms
+}
+
+// The version of a service's range map that a node has.
+struct RangeMapVersion {
+  1: required string service_name
+  2: required i64 version
+}
+
+// What a node tells all others at each heartbeat, in one datagram.
+struct Presence {
+  1: required string node
+  2: required i64 incarnation
+  // Rises with each datagram of an incarnation.
+  3: required i64 sequence
+  4: required string data_centre
+  // Port of the gate, at the address that the datagram comes from.
+  5: required i32 gate_port
+  6: optional string service_name
+  7: optional UpstreamPresence upstream
+  8: required i64 config_version
+  9: required list<RangeMapVersion> maps
+  // True: the node is about to end.
+  10: required bool leaving
+  // The table's version of the node's lease row; 0 when it holds none.
+  11: required i64 lease_version
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,7 +1,9 @@
 //! Choice of the subcommand, and the errors that all of them share.
 
 use crate::settings::Settings;
-use crate::{apply, check, demo, diff, drain, get, history, import, node, owner, rollback, status};
+use crate::{
+    apply, check, demo, diff, drain, get, history, import, node, owner, rollback, serve, status,
+};
 use std::ffi::OsString;
 use std::process::ExitCode;
 
@@ -12,6 +14,7 @@
 
 Commands:
   node    run one node beside an upstream instance
+  serve   run one node on the users' platform
   demo    run the Dakar mesh on loopback for a short while
 
   check     look for mistakes in inventory and rules
@@ -83,6 +86,7 @@
     let command = args.subcommand()?;
     match command.as_deref() {
         Some("node") => command_with(node::HELP, node::run, args),
+        Some("serve") => command_with(serve::HELP, serve::run, args),
         Some("demo") => command_with(demo::HELP, demo::run, args),
         Some("check") => command_with(check::HELP, check::run, args),
         Some("import") => command_with(import::HELP, import::run, args),
--- a/src/demo.rs
+++ b/src/demo.rs
@@ -42,7 +42,7 @@
         false => log::LevelFilter::Off,
     };
     settings.finish()?;
-    logging::init(level).map_err(CliError::failed)?;
+    logging::init(level, logging::Output::Stderr).map_err(CliError::failed)?;
     smol::block_on(demo(SystemClock))
 }
 
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -1,4 +1,4 @@
-//! Log lines: one JSON object each, on standard error.
+//! Log lines: one JSON object each, on standard error or standard output.
 //!
 //! A line has `time` (RFC 3339), `level`, `target`, `message` and the typed
 //! fields of its call. A call site that repeats itself is limited
@@ -10,14 +10,33 @@
 use log::kv::{Key, Value, VisitSource};
 use serde_json::{Map, json};
 
-/// Sends log lines of at least `level` to standard error.
-pub(crate) fn init(level: log::LevelFilter) -> Result<(), log::SetLoggerError> {
+/// Where log lines go.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Output {
+    /// For commands whose result is on standard output.
+    Stderr,
+    /// For processes that print nothing else.
+    Stdout,
+}
+
+impl From<Output> for fern::Output {
+    fn from(output: Output) -> Self {
+        match output {
+            Output::Stderr => std::io::stderr().into(),
+            Output::Stdout => std::io::stdout().into(),
+        }
+    }
+}
+
+/// Sends log lines of at least `level` to `output`.
+pub(crate) fn init(level: log::LevelFilter, output: Output) -> Result<(), log::SetLoggerError> {
     let limit = LogLimit::default();
     let clock = SystemClock;
     fern::Dispatch::new()
         .level(level)
         .level_for("polling", log::LevelFilter::Warn)
         .level_for("async_io", log::LevelFilter::Warn)
+        .level_for("hyper", log::LevelFilter::Warn)
         .level_for("trillium_server_common", log::LevelFilter::Warn)
         .format(move |out, message, record| {
             let site = (record.file_static().unwrap_or_default(), record.line());
@@ -27,7 +46,7 @@
             let line = line(&clock, message, record, suppressed);
             out.finish(format_args!("{line}"));
         })
-        .chain(std::io::stderr())
+        .chain(fern::Output::from(output))
         .apply()
 }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -16,6 +16,7 @@
 mod output;
 mod owner;
 mod rollback;
+mod serve;
 mod settings;
 mod status;
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -4,8 +4,8 @@
 use crate::logging;
 use crate::settings::Settings;
 use ibiscove_node::{Limits, Node, NodeSettings};
-use ibiscove_platform::http::{HttpPlatform, HttpSettings};
-use ibiscove_platform::{MemoryPlatform, Objects, Table};
+use ibiscove_store::http::{HttpPlatform, HttpSettings};
+use ibiscove_store::{MemoryPlatform, Objects, Table};
 use ibiscove_types::SystemClock;
 use ibiscove_wire::SharedKey;
 use smol::channel::Sender;
@@ -118,7 +118,7 @@
         print!("{table}");
         return Ok(());
     }
-    logging::init(config.level).map_err(CliError::failed)?;
+    logging::init(config.level, logging::Output::Stderr).map_err(CliError::failed)?;
     warn_of_missing_secrets(&config.node);
     config.node.recording = record.then(print_records);
     match config.platform {
--- /dev/null
+++ b/src/serve.rs
@@ -0,0 +1,57 @@
+//! `ibiscove serve`: runs a node on the users' platform until a signal stops
+//! it.
+
+use crate::cli::CliError;
+use crate::logging::{self, Output};
+use crate::settings::Settings;
+use async_signal::{Signal, Signals};
+use ibiscove_platform::node;
+use ibiscove_platform::settings::Settings as PlatformSettings;
+use smol::stream::StreamExt;
+
+pub(crate) const HELP: &str = "\
+Runs a node on the platform, until SIGTERM or SIGINT; SIGHUP reads the settings
+file again. Log lines go to standard output.
+
+Usage: ibiscove serve [FLAGS]
+
+  --log-level LEVEL         off, error, warn, info, debug or trace [info]
+
+The settings file is named by IBISCOVE_BOOT; docs/platform.md lists its fields.
+";
+
+pub(crate) fn run(mut settings: Settings) -> Result<(), CliError> {
+    let level = settings.value(
+        "--log-level",
+        log::LevelFilter::Info,
+        "off, error, warn, info, debug or trace",
+    )?;
+    settings.finish()?;
+    let platform = PlatformSettings::load().map_err(CliError::failed)?;
+    logging::init(level, Output::Stdout).map_err(CliError::failed)?;
+    smol::block_on(async {
+        let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]);
+        let signals = signals.map_err(CliError::failed)?;
+        let ran = node::run(platform, stopped(signals)).await;
+        ran.map_err(CliError::failed)
+    })
+}
+
+/// Completes at a signal to stop. A settings file that cannot be read leaves
+/// the settings as they are; one that can is checked, and what it changes takes
+/// effect at the next start.
+async fn stopped(mut signals: Signals) {
+    while let Some(signal) = signals.next().await {
+        match signal {
+            Ok(Signal::Hup) => match PlatformSettings::load() {
+                Ok(_) => log::info!("settings file read again; it is valid"),
+                Err(err) => log::error!("the settings stay as they are: {err}"),
+            },
+            Ok(signal) => {
+                log::info!(signal:? = signal; "asked to stop");
+                return;
+            }
+            Err(err) => log::error!("signals cannot be read: {err}"),
+        }
+    }
+}
--- a/tests/all/admin.rs
+++ b/tests/all/admin.rs
@@ -2,7 +2,7 @@
 
 use crate::support::{Pair, client, eventually, get};
 use ibiscove_node::NodeSettings;
-use ibiscove_platform::MemoryPlatform;
+use ibiscove_store::MemoryPlatform;
 use ibiscove_types::Reason;
 use std::collections::BTreeSet;
 use std::path::Path;
--- a/tests/all/edges.rs
+++ b/tests/all/edges.rs
@@ -3,7 +3,7 @@
 
 use crate::support::{PATIENCE, Pair, eventually};
 use ibiscove_node::{Limits, NodeSettings};
-use ibiscove_platform::MemoryPlatform;
+use ibiscove_store::MemoryPlatform;
 use ibiscove_types::Reason;
 use ibiscove_wire::SharedKey;
 use std::io::{Read, Write};
--- a/tests/all/mesh.rs
+++ b/tests/all/mesh.rs
@@ -2,8 +2,8 @@
 
 use crate::support::{Answer, PATIENCE, announce, client, eventually};
 use ibiscove_node::{Node, NodeSettings};
-use ibiscove_platform::MemoryPlatform;
 use ibiscove_standin::{Execution, Upstream, UpstreamSettings};
+use ibiscove_store::MemoryPlatform;
 use ibiscove_types::SystemClock;
 use smol::future::FutureExt;
 use std::net::SocketAddr;
--- a/tests/all/operators.rs
+++ b/tests/all/operators.rs
@@ -2,8 +2,8 @@
 
 use crate::support::{announce, eventually};
 use ibiscove_node::{Node, NodeSettings};
-use ibiscove_platform::MemoryPlatform;
 use ibiscove_standin::{Upstream, UpstreamSettings};
+use ibiscove_store::MemoryPlatform;
 use ibiscove_types::SystemClock;
 use ibiscove_wire::SharedKey;
 use serde_json::Value;
--- a/tests/all/ownership.rs
+++ b/tests/all/ownership.rs
@@ -2,8 +2,8 @@
 
 use crate::support::{NodeProcess, announce, client, eventually, get, serve_platform};
 use ibiscove_node::{Node, NodeSettings};
-use ibiscove_platform::MemoryPlatform;
 use ibiscove_standin::{FaultyPlatform, UpstreamSettings};
+use ibiscove_store::MemoryPlatform;
 use ibiscove_types::SystemClock;
 use std::net::SocketAddr;
 
--- a/tests/all/processes.rs
+++ b/tests/all/processes.rs
@@ -1,8 +1,8 @@
 //! The whole path, with each node in a process of its own.
 
 use crate::support::{NodeProcess, announce, client, eventually, get, serve_platform};
-use ibiscove_platform::MemoryPlatform;
 use ibiscove_standin::UpstreamSettings;
+use ibiscove_store::MemoryPlatform;
 use std::collections::HashMap;
 
 /// Keys asked for.
--- a/tests/all/starting.rs
+++ b/tests/all/starting.rs
@@ -2,7 +2,7 @@
 
 use crate::support::Pair;
 use ibiscove_node::{Node, NodeSettings};
-use ibiscove_platform::{Commit, MemoryPlatform, Objects, RawRow, Table, TableError, Transaction};
+use ibiscove_store::{Commit, MemoryPlatform, Objects, RawRow, Table, TableError, Transaction};
 use ibiscove_types::SystemClock;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
--- a/tests/all/stopping.rs
+++ b/tests/all/stopping.rs
@@ -5,7 +5,7 @@
     NodeProcess, PATIENCE, Pair, announce, client, eventually, get, serve_platform,
 };
 use ibiscove_node::NodeSettings;
-use ibiscove_platform::MemoryPlatform;
+use ibiscove_store::MemoryPlatform;
 use std::net::TcpStream;
 use std::time::Duration;
 
--- a/tests/all/streams.rs
+++ b/tests/all/streams.rs
@@ -2,7 +2,7 @@
 //! shutdown.
 
 use crate::support::{NodeProcess, PATIENCE, eventually, put_rules, serve_platform};
-use ibiscove_platform::MemoryPlatform;
+use ibiscove_store::MemoryPlatform;
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{Receiver, Sender, channel};
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -3,8 +3,8 @@
 use ibiscove_config::change::{ChangeAnswer, ChangeRequest, ConfigKind};
 use ibiscove_config::store::{ConfigStore, Known};
 use ibiscove_node::{Node, NodeSettings};
-use ibiscove_platform::MemoryPlatform;
 use ibiscove_standin::{Upstream, UpstreamSettings};
+use ibiscove_store::MemoryPlatform;
 use ibiscove_types::SystemClock;
 use std::io::{BufRead, BufReader};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
@@ -149,7 +149,7 @@
 
 /// A platform stand-in over HTTP.
 pub fn serve_platform(
-    platform: impl ibiscove_platform::Table + ibiscove_platform::Objects,
+    platform: impl ibiscove_store::Table + ibiscove_store::Objects,
 ) -> SocketAddr {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
     let addr = listener.local_addr().expect("a bound address");
--- a/tests/all/upstreams.rs
+++ b/tests/all/upstreams.rs
@@ -163,7 +163,7 @@
 fn a_bad_announcement_is_refused_with_its_remedy(body: &str, named: &str) {
     smol::block_on(async {
         let settings = NodeSettings::default();
-        let platform = ibiscove_platform::MemoryPlatform::default();
+        let platform = ibiscove_store::MemoryPlatform::default();
         let node = Node::start(settings, platform, ibiscove_types::SystemClock).await;
         let node = node.expect("a node starts");
         let url = format!("http://{}/_ibiscove/announce", node.addrs().upstream);
