A release waits for the grants of its range that are under way

Ruled out: the lease, a takeover (none ran). Change: grants keep their open calls; a release waits until they are answered, and what is lost counts until it runs out. Moves for balance are paced; the wake-up by each map had them run without pause (epoch 970 in 33 s). An address that refuses connections ends a release at once. Log lines that were over the limit were printed bare; lines go through a bounded queue.

--- a/crates/ranges/src/balance.rs
+++ b/crates/ranges/src/balance.rs
@@ -13,6 +13,10 @@
 /// spread busy neighbours; each costs one grant call at every renewal.
 pub const PIECES_PER_MEMBER: usize = 8;
 
+/// Ranges of one owner beyond which nothing is split for the sake of load:
+/// each costs one grant call at every renewal.
+pub const MAX_PIECES: usize = 40;
+
 /// Utilisation from which an owner gives load away.
 pub const BUSY: f64 = 0.75;
 /// Least difference in utilisation that is worth a move.
@@ -99,6 +103,10 @@
     if own.utilisation < BUSY || difference < WORTHWHILE {
         return None;
     }
+    let pieces = |owner: &Owner| map.owned_by(owner).count();
+    if pieces(&own.owner) >= MAX_PIECES || pieces(&least.owner) >= MAX_PIECES {
+        return None;
+    }
     let wanted = load.total() * MOVED_SHARE * difference / own.utilisation;
     let best = map
         .owned_by(&own.owner)
--- a/crates/ranges/src/grants.rs
+++ b/crates/ranges/src/grants.rs
@@ -54,6 +54,9 @@
         /// What the next owner's grant carries.
         handover: Option<Arc<str>>,
     },
+    /// Nobody listens at the upstream's address: its process has ended, and
+    /// with it all that it held.
+    Ended,
     /// No answer came.
     Unanswered,
 }
@@ -108,12 +111,22 @@
     confirmed_until: Option<SinceBoot>,
     /// When all that was ever granted must have run out.
     runs_out: SinceBoot,
-    /// When all that was granted without an answer must have run out.
-    unanswered_runs_out: SinceBoot,
+    /// Calls that were not answered, or not yet.
+    open_calls: Vec<OpenCall>,
     last_sent: Option<SinceBoot>,
     is_releasing: bool,
 }
 
+/// A grant that may still take effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct OpenCall {
+    sent: SinceBoot,
+    /// When what it grants must have run out.
+    runs_out: SinceBoot,
+    /// It is given up; no answer is awaited.
+    is_lost: bool,
+}
+
 /// Everything granted to one life of an upstream.
 #[derive(Clone, Debug, Default)]
 pub struct Grants {
@@ -161,7 +174,7 @@
                 handover: assignment.handover.clone(),
                 confirmed_until: None,
                 runs_out: SinceBoot::ZERO,
-                unanswered_runs_out: SinceBoot::ZERO,
+                open_calls: Vec::new(),
                 last_sent: None,
                 is_releasing: false,
             }));
@@ -204,6 +217,12 @@
             let ends = latest_end(settings, hold, now);
             g.last_sent = Some(now);
             g.runs_out = g.runs_out.max(ends);
+            g.open_calls.retain(|open| open.runs_out > now);
+            g.open_calls.push(OpenCall {
+                sent: now,
+                runs_out: ends,
+                is_lost: false,
+            });
             calls.push(GrantCall {
                 range: g.range,
                 fence: g.fence,
@@ -215,24 +234,23 @@
     }
 
     /// Takes the answer to a grant that was sent at `sent`.
-    pub fn answered(
-        &mut self,
-        call: &GrantCall,
-        reply: GrantReply,
-        settings: &GrantSettings,
-        sent: SinceBoot,
-    ) {
+    pub fn answered(&mut self, call: &GrantCall, reply: GrantReply, sent: SinceBoot) {
         let of_call = |g: &&mut Granted| g.fence == call.fence && call.range.overlaps(&g.range);
         for g in self.granted.iter_mut().filter(of_call) {
             match reply {
                 GrantReply::Granted => g.confirmed_until = Some(sent + call.hold),
                 GrantReply::FenceSeen | GrantReply::Refused => g.confirmed_until = None,
+                // Sent again at the next look.
+                GrantReply::Unanswered => g.last_sent = None,
+            }
+            match reply {
                 GrantReply::Unanswered => {
-                    let ends = latest_end(settings, call.hold, sent);
-                    g.unanswered_runs_out = g.unanswered_runs_out.max(ends);
-                    // Sent again at the next look.
-                    g.last_sent = None;
+                    let calls = g.open_calls.iter_mut();
+                    calls
+                        .filter(|open| open.sent == sent)
+                        .for_each(|open| open.is_lost = true);
                 }
+                _ => g.open_calls.retain(|open| open.sent != sent),
             }
         }
     }
@@ -265,21 +283,27 @@
         calls
     }
 
-    /// Takes back a release that led to nothing: the range is granted again.
-    pub fn cancel_release(&mut self, range: KeyRange) {
-        for g in self.granted.iter_mut().filter(|g| g.range.overlaps(&range)) {
-            g.is_releasing = false;
-            g.last_sent = None;
-            g.confirmed_until = None;
-        }
+    /// Whether the answer to a grant within `range` is still awaited. A release
+    /// that overtakes its grant would end nothing.
+    pub fn awaits_answer(&self, range: KeyRange) -> bool {
+        let mut overlapping = self.granted.iter().filter(|g| g.range.overlaps(&range));
+        overlapping.any(|g| g.open_calls.iter().any(|open| !open.is_lost))
     }
 
     /// From when a range that is being released may be given on.
     pub fn free_from(&self, range: KeyRange, reply: &ReleaseReply) -> SinceBoot {
+        if *reply == ReleaseReply::Ended {
+            return SinceBoot::ZERO;
+        }
         let overlapping = self.granted.iter().filter(|g| g.range.overlaps(&range));
         let ends = overlapping.map(|g| match reply {
-            ReleaseReply::Released { .. } => g.unanswered_runs_out,
             ReleaseReply::Unanswered => g.runs_out,
+            _ => g
+                .open_calls
+                .iter()
+                .map(|open| open.runs_out)
+                .max()
+                .unwrap_or_default(),
         });
         ends.max().unwrap_or_default().max(self.earlier_runs_out)
     }
--- a/crates/ranges/src/keeper.rs
+++ b/crates/ranges/src/keeper.rs
@@ -99,6 +99,8 @@
     utilisation: f64,
     /// Transfers of own ranges that are released and wait to be written.
     pending: Vec<Transfer>,
+    /// When a range was last moved for the sake of load.
+    balanced: Option<Instant>,
     /// Since when this upstream has been one of the service.
     joined: Option<Instant>,
 }
@@ -140,6 +142,7 @@
                     watch: Watch::default(),
                     utilisation: 0.0,
                     pending: Vec::new(),
+                    balanced: None,
                     joined: None,
                 }),
                 wake: Event::new(),
--- a/crates/ranges/src/keeper/granting.rs
+++ b/crates/ranges/src/keeper/granting.rs
@@ -53,10 +53,7 @@
                 GrantReply::Unanswered
             };
             let reply = keeper.inner.grantee.grant(call.clone()).or(timeout).await;
-            keeper
-                .state()
-                .grants
-                .answered(&call, reply, &settings, sent);
+            keeper.state().grants.answered(&call, reply, sent);
             if reply != GrantReply::Granted {
                 metrics::counter!("ibiscove_grant_failures_total").increment(1);
                 log::warn!(
--- a/crates/ranges/src/keeper/moving.rs
+++ b/crates/ranges/src/keeper/moving.rs
@@ -12,51 +12,62 @@
 use smol::future::FutureExt;
 use std::time::Duration;
 
-/// Time between two looks at the load.
-const LOOK_INTERVAL: Duration = Duration::from_millis(500);
-/// Time after a move before the next one, so that its effect shows first. The
-/// load is known by windows of one second.
+/// Time between two looks at what should move.
+const LOOK_INTERVAL: Duration = Duration::from_millis(250);
+/// Time after a move for the sake of load before the next one, so that its
+/// effect shows first. The load is known by windows of one second.
 const SETTLE: Duration = Duration::from_millis(1_500);
+/// Time between two looks for the answer to a grant.
+const ANSWER_INTERVAL: Duration = Duration::from_millis(5);
 
 impl<T: Table, G: Grantee, C: Clock + BootClock> Keeper<T, G, C> {
     pub(super) async fn move_ranges(self) {
         loop {
             let woken = self.inner.wake.listen();
-            let moved = self.move_once().await;
-            let pause = if moved { SETTLE } else { LOOK_INTERVAL };
-            self.inner.clock.sleep(pause).or(woken).await;
+            self.move_once().await;
+            self.inner.clock.sleep(LOOK_INTERVAL).or(woken).await;
         }
     }
 
-    async fn move_once(&self) -> bool {
+    async fn move_once(&self) {
         let (life, is_leaving) = {
             let state = self.state();
             (state.life.clone(), state.is_leaving)
         };
         let Some(life) = life else {
-            return self.give_up_all().await;
+            self.give_up_all().await;
+            return;
         };
         let own = Owner {
             node: NodeName::clone(&self.inner.node),
             life,
         };
         if !is_leaving && self.adopt(&own).await {
-            return false;
+            return;
         }
         let Some(map) = self.map().map(|known| known.map) else {
-            return false;
+            return;
         };
         let moves = match is_leaving {
             true => self.all_moves(&map, &own),
-            false => self
-                .joiners(&map, &own)
-                .or_else(|| self.shed(&map, &own))
-                .into_iter()
-                .collect(),
+            false => self.moves_for_balance(&map, &own),
         };
-        let any = !moves.is_empty();
         self.carry_out(moves).await;
-        any
+    }
+
+    /// What goes to members that joined, or away from a busy upstream; at most
+    /// one move at a time.
+    fn moves_for_balance(&self, map: &RangeMap, own: &Owner) -> Vec<(KeyRange, Owner)> {
+        let now = self.inner.clock.now();
+        let settles = |moved| now.saturating_duration_since(moved) < SETTLE;
+        if self.state().balanced.is_some_and(settles) {
+            return Vec::new();
+        }
+        let moved = self.joiners(map, own).or_else(|| self.shed(map, own));
+        if moved.is_some() {
+            self.state().balanced = Some(now);
+        }
+        moved.into_iter().collect()
     }
 
     /// Takes the ranges of this upstream's earlier life, under new fences.
@@ -92,9 +103,9 @@
 
     /// The upstream is gone: its ranges go to others once nothing that it was
     /// granted can last.
-    async fn give_up_all(&self) -> bool {
+    async fn give_up_all(&self) {
         let Some(known) = self.map() else {
-            return false;
+            return;
         };
         let owned = |map: &RangeMap| -> Vec<KeyRange> {
             map.owned_by_node(&self.inner.node)
@@ -102,12 +113,12 @@
                 .collect()
         };
         if owned(&known.map).is_empty() {
-            return false;
+            return;
         }
         self.sleep_until_run_out().await;
         let targets: Vec<Owner> = self.candidates().iter().filter_map(owner_of).collect();
         if self.state().life.is_some() || targets.is_empty() {
-            return false;
+            return;
         }
         let plan = |map: &RangeMap| {
             let divided = balance::divide(map, &owned(map), &targets);
@@ -121,12 +132,8 @@
                 .collect();
             (!transfers.is_empty()).then_some(transfers)
         };
-        match self.change_map(Transaction::default, plan).await {
-            Ok(changed) => changed,
-            Err(err) => {
-                log::warn!("ranges of an upstream that is gone stay with it for now: {err}");
-                false
-            }
+        if let Err(err) = self.change_map(Transaction::default, plan).await {
+            log::warn!("ranges of an upstream that is gone stay with it for now: {err}");
         }
     }
 
@@ -183,13 +190,16 @@
         let mut transfers = Vec::new();
         for call in calls {
             let range = call.range;
+            while self.state().grants.awaits_answer(range) {
+                self.inner.clock.sleep(ANSWER_INTERVAL).await;
+            }
             let reply = self.release(call).await;
             let free_from = self.state().grants.free_from(range, &reply);
             let now = self.inner.clock.since_boot();
             self.inner.clock.sleep(free_from.saturating_sub(now)).await;
             let handover = match reply {
                 ReleaseReply::Released { handover } => handover,
-                ReleaseReply::Unanswered => None,
+                ReleaseReply::Ended | ReleaseReply::Unanswered => None,
             };
             transfers.push(Transfer {
                 range,
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -5,6 +5,7 @@
 //! ([`crate::log_limit`]); the next line that it prints says in `suppressed`
 //! how many were left out.
 
+use crate::line_writer::LineWriter;
 use crate::log_limit::LogLimit;
 use ibiscove_types::{Clock, SystemClock};
 use log::kv::{Key, Value, VisitSource};
@@ -19,34 +20,26 @@
     Stdout,
 }
 
-impl From<Output> for fern::Output {
-    fn from(output: Output) -> Self {
-        match output {
-            Output::Stderr => std::io::stderr().into(),
-            Output::Stdout => std::io::stdout().into(),
-        }
-    }
-}
-
 /// Sends log lines of at least `level` to `output`.
 pub(crate) fn init(level: log::LevelFilter, output: Output) -> Result<(), log::SetLoggerError> {
     let limit = LogLimit::default();
+    let writer = LineWriter::start(output);
     let clock = SystemClock;
+    // The line is made by the output itself: a formatter that leaves a record
+    // out would have fern print it as it is.
+    let print = fern::Output::call(move |record| {
+        let site = (record.file_static().unwrap_or_default(), record.line());
+        if let Some(suppressed) = limit.pass(site, clock.now()) {
+            writer.write(line(&clock, record.args(), record, suppressed));
+        }
+    });
     fern::Dispatch::new()
         .level(level)
         .level_for("polling", log::LevelFilter::Warn)
         .level_for("async_io", log::LevelFilter::Warn)
         .level_for("hyper", log::LevelFilter::Warn)
         .level_for("trillium_server_common", log::LevelFilter::Warn)
-        .format(move |out, message, record| {
-            let site = (record.file_static().unwrap_or_default(), record.line());
-            let Some(suppressed) = limit.pass(site, clock.now()) else {
-                return;
-            };
-            let line = line(&clock, message, record, suppressed);
-            out.finish(format_args!("{line}"));
-        })
-        .chain(fern::Output::from(output))
+        .chain(print)
         .apply()
 }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -9,6 +9,7 @@
 mod get;
 mod history;
 mod import;
+mod line_writer;
 mod log_limit;
 mod logging;
 mod node;
