A restarted node waits for its upstream before it gives keys away; grants go one by one

Cause: OWNER after all processes were killed: a node that had the map and not yet its upstream's announcement took the upstream for gone and gave its keys away, while the earlier run's grants lasted. Grants sent at once opened more connections than a busy upstream takes, which reset them all, for ever. Ruled out: the coordinator (no takeover was logged). Change: a keeper starts with all that its earlier run may have granted; one grant call at a time, those never granted first.

--- a/crates/ranges/src/grants.rs
+++ b/crates/ranges/src/grants.rs
@@ -33,6 +33,8 @@
     FenceSeen,
     /// It refused the call for another reason; it does not hold the keys.
     Refused,
+    /// The call did not leave this node.
+    NotSent,
     /// No answer came; the grant may take effect later.
     Unanswered,
 }
@@ -196,41 +198,37 @@
         self.granted.is_empty()
     }
 
-    /// The grants to send now, given when the lease ends.
-    pub fn due(
+    /// The next grant to send, given when the lease ends; those that were never
+    /// granted come first, then those that run out first.
+    pub fn next_due(
         &mut self,
         settings: &GrantSettings,
         lease_end: SinceBoot,
         now: SinceBoot,
-    ) -> Vec<GrantCall> {
-        let Some(hold) = hold_within(settings, lease_end, now) else {
-            return Vec::new();
+    ) -> Option<GrantCall> {
+        let hold = hold_within(settings, lease_end, now)?;
+        let is_due = |g: &&mut Granted| {
+            let interval = settings.renew_interval;
+            let due = g.last_sent.is_none_or(|sent| now.saturating_sub(sent) >= interval);
+            due && !g.is_releasing
         };
-        let mut calls = Vec::new();
-        for g in &mut self.granted {
-            let is_due = g
-                .last_sent
-                .is_none_or(|sent| now.saturating_sub(sent) >= settings.renew_interval);
-            if g.is_releasing || !is_due {
-                continue;
-            }
-            let ends = latest_end(settings, hold, now);
-            g.last_sent = Some(now);
-            g.runs_out = g.runs_out.max(ends);
-            g.open_calls.retain(|open| open.runs_out > now);
-            g.open_calls.push(OpenCall {
-                sent: now,
-                runs_out: ends,
-                is_lost: false,
-            });
-            calls.push(GrantCall {
-                range: g.range,
-                fence: g.fence,
-                hold,
-                handover: g.handover.clone().filter(|_| g.confirmed_until.is_none()),
-            });
-        }
-        calls
+        let due = self.granted.iter_mut().filter(is_due);
+        let g = due.min_by_key(|g| g.confirmed_until)?;
+        let ends = latest_end(settings, hold, now);
+        g.last_sent = Some(now);
+        g.runs_out = g.runs_out.max(ends);
+        g.open_calls.retain(|open| open.runs_out > now);
+        g.open_calls.push(OpenCall {
+            sent: now,
+            runs_out: ends,
+            is_lost: false,
+        });
+        Some(GrantCall {
+            range: g.range,
+            fence: g.fence,
+            hold,
+            handover: g.handover.clone().filter(|_| g.confirmed_until.is_none()),
+        })
     }
 
     /// Takes the answer to a grant that was sent at `sent`.
@@ -239,9 +237,9 @@
         for g in self.granted.iter_mut().filter(of_call) {
             match reply {
                 GrantReply::Granted => g.confirmed_until = Some(sent + call.hold),
-                GrantReply::FenceSeen | GrantReply::Refused => g.confirmed_until = None,
                 // Sent again at the next look.
-                GrantReply::Unanswered => g.last_sent = None,
+                GrantReply::Unanswered | GrantReply::NotSent => g.last_sent = None,
+                GrantReply::FenceSeen | GrantReply::Refused => g.confirmed_until = None,
             }
             match reply {
                 GrantReply::Unanswered => {
--- a/crates/ranges/src/keeper.rs
+++ b/crates/ranges/src/keeper.rs
@@ -121,6 +121,7 @@
         announce: Arc<Event>,
     ) -> Self {
         let now = clock.now();
+        let grants = Grants::after_restart(&settings.grants, clock.since_boot());
         Self {
             inner: Arc::new(Inner {
                 settings,
@@ -137,7 +138,7 @@
                     granted_to: None,
                     is_leaving: false,
                     lease: Lease::default(),
-                    grants: Grants::default(),
+                    grants,
                     load: KeyLoad::new(now),
                     watch: Watch::default(),
                     utilisation: 0.0,
@@ -179,15 +180,11 @@
             return;
         }
         if state.granted_to.as_ref() != Some(life) {
-            state.grants = match &state.granted_to {
-                None => {
-                    let now = self.inner.clock.since_boot();
-                    Grants::after_restart(&self.inner.settings.grants, now)
-                }
+            if state.granted_to.is_some() {
                 // The life before held its grants at this address; they ended
                 // with it.
-                Some(_) => Grants::default(),
-            };
+                state.grants = Grants::default();
+            }
             state.granted_to = Some(life.clone());
             state.joined = Some(self.inner.clock.now());
             state.lease.lost();
--- a/crates/ranges/src/keeper/granting.rs
+++ b/crates/ranges/src/keeper/granting.rs
@@ -15,59 +15,57 @@
         loop {
             let woken = self.inner.wake.listen();
             let changed = self.inner.maps.changed();
-            let (calls, sent) = self.due_grants();
-            let calls = calls.into_iter().map(|call| self.grant(call, sent));
-            let mut tasks: Vec<_> = calls.map(smol::spawn).collect();
-            for task in tasks.drain(..) {
-                task.await;
-            }
+            self.send_due().await;
             let look = self.inner.clock.sleep(LOOK_INTERVAL);
             look.or(woken).or(changed).await;
         }
     }
 
-    fn due_grants(&self) -> (Vec<GrantCall>, SinceBoot) {
+    /// Sends what is due, one call after the other: an upstream takes few
+    /// connections while it is busy. Stops at the first call that fails.
+    async fn send_due(&self) {
+        while let Some((call, sent)) = self.next_grant() {
+            let reply = self.grant(&call, sent).await;
+            match reply {
+                GrantReply::Granted => continue,
+                // Somebody else owned these keys since: the map is behind.
+                GrantReply::FenceSeen => {
+                    if let Err(err) = self.read_rows().await {
+                        log::warn!("the map cannot be read again: {err}");
+                    }
+                }
+                GrantReply::Refused | GrantReply::NotSent | GrantReply::Unanswered => {}
+            }
+            return;
+        }
+    }
+
+    fn next_grant(&self) -> Option<(GrantCall, SinceBoot)> {
         let now = self.inner.clock.since_boot();
         let mut state = self.state();
-        let (Some(owner), Some(known)) = (self.owner(&state), self.map()) else {
-            return (Vec::new(), now);
-        };
-        state.grants.follow(known.map.owned_by(&owner));
-        let Some(lease_end) = self.lease_end(&state) else {
-            return (Vec::new(), now);
-        };
+        let owner = self.owner(&state)?;
+        state.grants.follow(self.map()?.map.owned_by(&owner));
+        let lease_end = self.lease_end(&state)?;
         let settings = &self.inner.settings.grants;
-        (state.grants.due(settings, lease_end, now), now)
+        let call = state.grants.next_due(settings, lease_end, now)?;
+        Some((call, now))
     }
 
-    fn grant(
-        &self,
-        call: GrantCall,
-        sent: SinceBoot,
-    ) -> impl Future<Output = ()> + Send + use<T, G, C> {
-        let keeper = self.clone();
-        async move {
-            let settings = keeper.inner.settings.grants;
-            let timeout = async {
-                keeper.inner.clock.sleep(settings.call_timeout).await;
-                GrantReply::Unanswered
-            };
-            let reply = keeper.inner.grantee.grant(call.clone()).or(timeout).await;
-            keeper.state().grants.answered(&call, reply, sent);
-            if reply != GrantReply::Granted {
-                metrics::counter!("ibiscove_grant_failures_total").increment(1);
-                log::warn!(
-                    service = &*keeper.inner.service, first = call.range.first,
-                    last = call.range.last, fence = call.fence, reply:? = reply;
-                    "a grant failed"
-                );
-            }
-            if reply == GrantReply::FenceSeen {
-                // Somebody else owned these keys since: the map is behind.
-                if let Err(err) = keeper.read_rows().await {
-                    log::warn!("the map cannot be read again: {err}");
-                }
-            }
+    async fn grant(&self, call: &GrantCall, sent: SinceBoot) -> GrantReply {
+        let timeout = async {
+            self.inner.clock.sleep(self.inner.settings.grants.call_timeout).await;
+            GrantReply::Unanswered
+        };
+        let reply = self.inner.grantee.grant(call.clone()).or(timeout).await;
+        self.state().grants.answered(call, reply, sent);
+        if reply != GrantReply::Granted {
+            metrics::counter!("ibiscove_grant_failures_total").increment(1);
+            log::warn!(
+                service = &*self.inner.service, first = call.range.first,
+                last = call.range.last, fence = call.fence, reply:? = reply;
+                "a grant failed"
+            );
         }
+        reply
     }
 }
--- a/crates/ranges/src/keeper/moving.rs
+++ b/crates/ranges/src/keeper/moving.rs
@@ -102,7 +102,8 @@
     }
 
     /// The upstream is gone: its ranges go to others once nothing that it was
-    /// granted can last.
+    /// granted can last. A node that has just started waits likewise for what
+    /// its earlier run may have granted, and meanwhile hears of its upstream.
     async fn give_up_all(&self) {
         let Some(known) = self.map() else {
             return;
