Order by priority before lateness; judge returning callers from their first try

Ruled out: telling the upstream's own calls by their address; callers of a machine come from the same one. Change: rank by priority, lateness, target; what misses its target waits only where twice the estimated wait fits; the time that a caller has waited already is the difference to the longest deadline seen on its route.

--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -114,6 +114,8 @@
     parts: EntryParts<K, C>,
     targets: Targets,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
+    /// Longest time that callers of each route have been willing to wait.
+    patience: Mutex<HashMap<Arc<str>, Duration>>,
 }
 
 /// One request at its entry.
@@ -144,12 +146,21 @@
                 parts,
                 targets: Targets::default(),
                 budgets: Mutex::default(),
+                patience: Mutex::default(),
             }),
         }
     }
 
     /// Forgets what it knows of nodes that are gone.
     pub fn prune(&self) {
+        if let Some(table) = self.parts().config.get() {
+            let mut patience = self
+                .inner
+                .patience
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner);
+            patience.retain(|route, _| table.has_route(route));
+        }
         self.inner.targets.prune(&self.inner.parts.members);
         self.inner.parts.pool.prune();
     }
@@ -254,7 +265,7 @@
             key,
             idempotent: route.idempotent,
             priority: route.priority,
-            target: arrived + route.target_latency,
+            target: arrived + self.target_left(route, wants),
             deadline: arrived + wants.min(route.timeout),
             origin: parts.identity.service.clone(),
             entry: Arc::clone(&parts.identity.node),
@@ -275,6 +286,28 @@
         Ok((Arc::clone(route), plan))
     }
 
+    /// How long an answer is of full worth. A caller that was refused and came
+    /// back has less time left than callers of its route have at first, and its
+    /// answer is judged from then.
+    fn target_left(&self, route: &Route, wants: Duration) -> Duration {
+        let mut patience = self
+            .inner
+            .patience
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let longest = match patience.get_mut(&route.name) {
+            Some(longest) => {
+                *longest = wants.max(*longest);
+                *longest
+            }
+            None => {
+                patience.insert(Arc::clone(&route.name), wants);
+                wants
+            }
+        };
+        route.target_latency.saturating_sub(longest - wants)
+    }
+
     async fn read_body(
         &self,
         body: Incoming,
--- a/crates/proxy/src/routes.rs
+++ b/crates/proxy/src/routes.rs
@@ -173,6 +173,14 @@
         routes.iter().find(|route| path.starts_with(&route.prefix))
     }
 
+    /// Whether there is a route of this name.
+    pub fn has_route(&self, name: &str) -> bool {
+        self.by_host
+            .values()
+            .flatten()
+            .any(|route| &*route.name == name)
+    }
+
     /// Whether the keys of a service are divided.
     pub fn is_divided(&self, service: &str) -> bool {
         self.services
--- a/crates/ranges/src/grants.rs
+++ b/crates/ranges/src/grants.rs
@@ -209,7 +209,9 @@
         let hold = hold_within(settings, lease_end, now)?;
         let is_due = |g: &&mut Granted| {
             let interval = settings.renew_interval;
-            let due = g.last_sent.is_none_or(|sent| now.saturating_sub(sent) >= interval);
+            let due = g
+                .last_sent
+                .is_none_or(|sent| now.saturating_sub(sent) >= interval);
             due && !g.is_releasing
         };
         let due = self.granted.iter_mut().filter(is_due);
--- a/crates/ranges/src/keeper/granting.rs
+++ b/crates/ranges/src/keeper/granting.rs
@@ -53,7 +53,10 @@
 
     async fn grant(&self, call: &GrantCall, sent: SinceBoot) -> GrantReply {
         let timeout = async {
-            self.inner.clock.sleep(self.inner.settings.grants.call_timeout).await;
+            self.inner
+                .clock
+                .sleep(self.inner.settings.grants.call_timeout)
+                .await;
             GrantReply::Unanswered
         };
         let reply = self.inner.grantee.grant(call.clone()).or(timeout).await;
--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -3,8 +3,9 @@
 //! The gate is the only way to its upstream, so it knows everything that runs
 //! and waits there. A request waits only while it can still end within its
 //! deadline; what cannot is refused at once, with the time after which there is
-//! room. Those that can still meet their target go before those that cannot,
-//! then the more urgent priority, then the earlier target.
+//! room. The more urgent priority goes first; within one, those that can still
+//! meet their target go before those that cannot, and the earlier target goes
+//! before the later.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -28,8 +29,8 @@
 /// Names a request that waits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Ticket {
-    misses_target: bool,
     priority: Priority,
+    misses_target: bool,
     target: Instant,
     number: u64,
 }
@@ -103,7 +104,11 @@
         }
         let ticket = self.ticket(&ask, now);
         let wait = self.wait_before(&ticket);
-        if now + wait + ask.estimate > ask.deadline {
+        let caution = match ticket.misses_target {
+            true => LATE_CAUTION,
+            false => 1.0,
+        };
+        if now + wait.mul_f64(caution) + ask.estimate > ask.deadline {
             return Verdict::Refuse {
                 retry_after: self.drained_in(),
             };
@@ -167,8 +172,8 @@
 
     fn ticket(&self, ask: &Ask, now: Instant) -> Ticket {
         let in_time = Ticket {
-            misses_target: false,
             priority: ask.priority,
+            misses_target: false,
             target: ask.target,
             number: self.next_number,
         };
@@ -192,6 +197,10 @@
     }
 }
 
+/// How much longer than estimated a request may wait that misses its target:
+/// those that can meet theirs go on passing it.
+const LATE_CAUTION: f64 = 2.0;
+
 /// Share of the usual time below which a request is not worth starting. Half
 /// of the requests take less than the usual time.
 const HOPELESS_SHARE: f64 = 0.6;
