Explore ownership of key ranges by seed; a grant reaches only the life it is for

Ruled out: the map (it gave the next life a new fence). The seeded executor is a crate of its own, with suspended clocks.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -173,6 +173,15 @@
         sent.map_err(|(err, _)| err)
     }
 
+    /// Whether an idle connection to an address can be used now.
+    pub fn has_idle(&self, addr: SocketAddr) -> bool {
+        let now = Instant::now();
+        let max_idle = self.inner.settings.max_idle;
+        let all = self.lock();
+        let mut kept = all.get(&addr).into_iter().flatten();
+        kept.any(|idle| is_fresh(idle, now, max_idle))
+    }
+
     /// Closes idle connections to an address, for one that is gone or reset.
     pub fn forget(&self, addr: SocketAddr) {
         self.lock().remove(&addr);
--- a/crates/ownership/tests/explorer/main.rs
+++ b/crates/ownership/tests/explorer/main.rs
@@ -4,7 +4,6 @@
 mod checker;
 mod membership;
 mod schedules;
-mod sim;
 mod traps;
 mod world;
 
@@ -19,7 +18,7 @@
     fn log(&self, record: &log::Record<'_>) {
         println!(
             "{} {}: {}",
-            sim::log_prefix(),
+            ibiscove_sim::log_prefix(),
             record.target(),
             record.args()
         );
--- a/crates/ownership/tests/explorer/schedules.rs
+++ b/crates/ownership/tests/explorer/schedules.rs
@@ -1,7 +1,7 @@
 //! Random schedules of faults.
 
-use crate::sim::NodeIndex;
 use crate::world::{CommitFault, SLOTS, World};
+use ibiscove_sim::NodeIndex;
 use std::collections::BTreeSet;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::time::Duration;
--- a/crates/ownership/tests/explorer/traps.rs
+++ b/crates/ownership/tests/explorer/traps.rs
@@ -1,7 +1,7 @@
 //! One test for each situation that has a rule of its own.
 
-use crate::sim::NodeIndex;
 use crate::world::{CommitFault, SLOTS, World};
+use ibiscove_sim::NodeIndex;
 use std::time::Duration;
 
 /// Runs of each test, with different delays and clock rates.
--- a/crates/ownership/tests/explorer/world.rs
+++ b/crates/ownership/tests/explorer/world.rs
@@ -1,9 +1,9 @@
 //! Nodes, the network between them and the table, all with faults.
 
 use crate::checker::{Checker, Execution, Rows};
-use crate::sim::{NodeIndex, Sim, SimClock, WORLD};
 use async_task::Task;
 use ibiscove_ownership::{Admission, NoHooks, Ownership, OwnershipSettings, ServiceShape};
+use ibiscove_sim::{NodeIndex, Sim, SimClock, WORLD};
 use ibiscove_spread::{Replica, SpreadSettings};
 use ibiscove_store::{Commit, MemoryPlatform, RawRow, Table, TableError, Transaction};
 use ibiscove_types::{
--- a/crates/ranges/src/grants.rs
+++ b/crates/ranges/src/grants.rs
@@ -6,7 +6,7 @@
 //! or when every grant must have run out.
 
 use crate::map::{Assignment, KeyRange};
-use ibiscove_types::{Fence, Key, SinceBoot};
+use ibiscove_types::{Fence, Key, SinceBoot, UpstreamLife};
 use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,6 +14,9 @@
 /// A grant, or its renewal.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct GrantCall {
+    /// The life that it is for. A life that has not announced itself yet must
+    /// not take what was meant for the one before.
+    pub to: UpstreamLife,
     /// The keys.
     pub range: KeyRange,
     /// The fence.
@@ -42,6 +45,8 @@
 /// The end of a grant or of a part of it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReleaseCall {
+    /// The life that it is for.
+    pub of: UpstreamLife,
     /// The keys.
     pub range: KeyRange,
     /// The fence.
@@ -203,6 +208,7 @@
     pub fn next_due(
         &mut self,
         settings: &GrantSettings,
+        to: &UpstreamLife,
         lease_end: SinceBoot,
         now: SinceBoot,
     ) -> Option<GrantCall> {
@@ -226,6 +232,7 @@
             is_lost: false,
         });
         Some(GrantCall {
+            to: to.clone(),
             range: g.range,
             fence: g.fence,
             hold,
@@ -257,7 +264,7 @@
 
     /// Begins to release the parts of `range` that are granted; nothing is
     /// served on them any more.
-    pub fn begin_release(&mut self, range: KeyRange) -> Vec<ReleaseCall> {
+    pub fn begin_release(&mut self, of: &UpstreamLife, range: KeyRange) -> Vec<ReleaseCall> {
         let mut next = Vec::with_capacity(self.granted.len() + 2);
         let mut calls = Vec::new();
         for g in self.granted.drain(..) {
@@ -270,6 +277,7 @@
                 ..g.clone()
             }));
             calls.push(ReleaseCall {
+                of: of.clone(),
                 range: shared,
                 fence: g.fence,
             });
--- a/crates/ranges/src/keeper.rs
+++ b/crates/ranges/src/keeper.rs
@@ -5,6 +5,7 @@
 
 mod coordinate;
 mod granting;
+mod join;
 mod leasing;
 mod moving;
 
@@ -16,6 +17,7 @@
 use crate::rows::{self, Snapshot};
 use crate::takeover::Watch;
 use event_listener::Event;
+use futures_lite::future::zip;
 use ibiscove_mesh::{Member, Members};
 use ibiscove_store::{Commit, Condition, Table, TableError, Transaction, Write};
 use ibiscove_types::{
@@ -156,15 +158,9 @@
 
     /// Runs until the task is dropped.
     pub async fn run(self) {
-        let tasks = [
-            smol::spawn(self.clone().keep_lease()),
-            smol::spawn(self.clone().keep_grants()),
-            smol::spawn(self.clone().coordinate()),
-            smol::spawn(self.clone().move_ranges()),
-        ];
-        for task in tasks {
-            task.await;
-        }
+        let lease = zip(self.keep_lease(), self.keep_grants());
+        let ranges = zip(self.coordinate(), self.move_ranges());
+        zip(lease, ranges).await;
     }
 
     /// The service whose keys are divided.
@@ -177,6 +173,9 @@
         let mut state = self.state();
         let is_known = state.life.as_ref() == Some(life) && state.is_leaving == is_draining;
         if is_known {
+            drop(state);
+            // Grants that need a fresh announcement go out now.
+            self.inner.wake.notify(usize::MAX);
             return;
         }
         if state.granted_to.as_ref() != Some(life) {
--- a/crates/ranges/src/keeper/coordinate.rs
+++ b/crates/ranges/src/keeper/coordinate.rs
@@ -20,7 +20,7 @@
 const GATHER: Duration = Duration::from_millis(2_500);
 
 impl<T: Table, G: Grantee, C: Clock + BootClock> Keeper<T, G, C> {
-    pub(super) async fn coordinate(self) {
+    pub(super) async fn coordinate(&self) {
         loop {
             self.inner.clock.sleep(LOOK_INTERVAL).await;
             if !self.is_coordinator() {
--- a/crates/ranges/src/keeper/granting.rs
+++ b/crates/ranges/src/keeper/granting.rs
@@ -2,16 +2,16 @@
 
 use super::Keeper;
 use crate::grants::{GrantCall, GrantReply, Grantee};
+use futures_lite::FutureExt;
 use ibiscove_store::Table;
 use ibiscove_types::{BootClock, Clock, SinceBoot};
-use smol::future::FutureExt;
 use std::time::Duration;
 
 /// Time between two looks at what is due.
 const LOOK_INTERVAL: Duration = Duration::from_millis(250);
 
 impl<T: Table, G: Grantee, C: Clock + BootClock> Keeper<T, G, C> {
-    pub(super) async fn keep_grants(self) {
+    pub(super) async fn keep_grants(&self) {
         loop {
             let woken = self.inner.wake.listen();
             let changed = self.inner.maps.changed();
@@ -47,7 +47,9 @@
         state.grants.follow(self.map()?.map.owned_by(&owner));
         let lease_end = self.lease_end(&state)?;
         let settings = &self.inner.settings.grants;
-        let call = state.grants.next_due(settings, lease_end, now)?;
+        let call = state
+            .grants
+            .next_due(settings, &owner.life, lease_end, now)?;
         Some((call, now))
     }
 
--- a/crates/ranges/src/keeper/leasing.rs
+++ b/crates/ranges/src/keeper/leasing.rs
@@ -3,12 +3,12 @@
 use super::{Keeper, RETRY_PAUSE};
 use crate::grants::Grantee;
 use crate::rows::{self, LeaseRow};
+use futures_lite::FutureExt;
 use ibiscove_store::{Commit, Table, TableError, Transaction};
 use ibiscove_types::{BootClock, Clock, NodeName, RowVersion, SinceBoot, UpstreamLife};
-use smol::future::FutureExt;
 
 impl<T: Table, G: Grantee, C: Clock + BootClock> Keeper<T, G, C> {
-    pub(super) async fn keep_lease(self) {
+    pub(super) async fn keep_lease(&self) {
         loop {
             let woken = self.inner.wake.listen();
             let now = self.inner.clock.since_boot();
--- a/crates/ranges/src/keeper/moving.rs
+++ b/crates/ranges/src/keeper/moving.rs
@@ -3,13 +3,14 @@
 
 use super::Keeper;
 use super::coordinate::owner_of;
+use super::join::join_all;
 use crate::balance::{self, Candidate};
 use crate::grants::{Grantee, ReleaseCall, ReleaseReply};
 use crate::map::{KeyRange, Owner, RangeMap, Transfer};
+use futures_lite::FutureExt;
 use ibiscove_mesh::Member;
 use ibiscove_store::{Table, Transaction};
 use ibiscove_types::{BootClock, Clock, NodeName};
-use smol::future::FutureExt;
 use std::time::Duration;
 
 /// Time between two looks at what should move.
@@ -21,7 +22,7 @@
 const ANSWER_INTERVAL: Duration = Duration::from_millis(5);
 
 impl<T: Table, G: Grantee, C: Clock + BootClock> Keeper<T, G, C> {
-    pub(super) async fn move_ranges(self) {
+    pub(super) async fn move_ranges(&self) {
         loop {
             let woken = self.inner.wake.listen();
             self.move_once().await;
@@ -52,7 +53,7 @@
             true => self.all_moves(&map, &own),
             false => self.moves_for_balance(&map, &own),
         };
-        self.carry_out(moves).await;
+        self.carry_out(&own, moves).await;
     }
 
     /// What goes to members that joined, or away from a busy upstream; at most
@@ -172,22 +173,18 @@
         balance::shed(map, &own, &state.load, &others)
     }
 
-    async fn carry_out(&self, moves: Vec<(KeyRange, Owner)>) {
-        let tasks: Vec<_> = moves
-            .into_iter()
-            .map(|(range, to)| {
-                let keeper = self.clone();
-                smol::spawn(async move { keeper.hand_over(range, to).await })
-            })
-            .collect();
-        for task in tasks {
-            task.await;
-        }
+    async fn carry_out(&self, own: &Owner, moves: Vec<(KeyRange, Owner)>) {
+        join_all(
+            moves
+                .into_iter()
+                .map(|(range, to)| self.hand_over(own, range, to)),
+        )
+        .await;
     }
 
     /// Releases a range and writes its new owner.
-    async fn hand_over(&self, range: KeyRange, to: Owner) {
-        let calls = self.state().grants.begin_release(range);
+    async fn hand_over(&self, own: &Owner, range: KeyRange, to: Owner) {
+        let calls = self.state().grants.begin_release(&own.life, range);
         let mut transfers = Vec::new();
         for call in calls {
             let range = call.range;
--- a/crates/ownership/tests/explorer/sim.rs
+++ b/crates/sim/src/lib.rs
@@ -1,10 +1,11 @@
 //! A seeded executor with virtual time.
 //!
 //! Tasks belong to a node. Which runnable task runs next is drawn from the seed;
-//! time passes only when none can run. A frozen node's tasks wait.
+//! time passes only when none can run. A frozen node's tasks wait, and a
+//! suspended node's steady clock stands still with them.
 
 use async_task::{Runnable, Task};
-use ibiscove_types::Clock;
+use ibiscove_types::{BootClock, Clock, SinceBoot};
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::pin::Pin;
@@ -23,6 +24,8 @@
 struct NodeTime {
     rate: f64,
     frozen_until: Duration,
+    /// Time for which its steady clock stood still.
+    suspended: Duration,
 }
 
 struct State {
@@ -53,6 +56,7 @@
 }
 
 impl Sim {
+    /// A run whose choices follow from the seed.
     pub fn new(seed: u64) -> Arc<Self> {
         Arc::new(Self {
             base: Instant::now(),
@@ -65,6 +69,7 @@
                 nodes: vec![NodeTime {
                     rate: 1.0,
                     frozen_until: Duration::ZERO,
+                    suspended: Duration::ZERO,
                 }],
             }),
         })
@@ -85,15 +90,24 @@
         state.nodes.push(NodeTime {
             rate,
             frozen_until: Duration::ZERO,
+            suspended: Duration::ZERO,
         });
         state.nodes.len() - 1
     }
 
+    /// Stops a node's tasks for a while; its clocks go on.
     pub fn freeze(&self, node: NodeIndex, length: Duration) {
         let mut state = self.state();
         state.nodes[node].frozen_until = state.now + length;
     }
 
+    /// Suspends a node: its tasks stop, and its steady clock with them.
+    pub fn suspend(&self, node: NodeIndex, length: Duration) {
+        self.freeze(node, length);
+        self.state().nodes[node].suspended += length;
+    }
+
+    /// Whether a node's tasks are stopped.
     pub fn is_frozen(&self, node: NodeIndex) -> bool {
         let state = self.state();
         state.nodes[node].frozen_until > state.now
@@ -110,6 +124,7 @@
         at.saturating_duration_since(self.base).div_f64(rate)
     }
 
+    /// Starts a task of a node.
     pub fn spawn(
         self: &Arc<Self>,
         node: NodeIndex,
@@ -186,6 +201,7 @@
     }
 }
 
+/// Completes after a stretch of real time.
 pub struct Sleep {
     sim: Arc<Sim>,
     until: Duration,
@@ -224,14 +240,17 @@
 /// The clock of one node.
 #[derive(Clone)]
 pub struct SimClock {
+    /// The run.
     pub sim: Arc<Sim>,
+    /// The node.
     pub node: NodeIndex,
 }
 
 impl Clock for SimClock {
     fn now(&self) -> Instant {
         let state = self.sim.state();
-        self.sim.base + state.now.mul_f64(state.nodes[self.node].rate)
+        let node = &state.nodes[self.node];
+        self.sim.base + state.now.saturating_sub(node.suspended).mul_f64(node.rate)
     }
 
     fn wall(&self) -> SystemTime {
@@ -243,3 +262,10 @@
         self.sim.sleep(length.div_f64(rate)).await;
     }
 }
+
+impl BootClock for SimClock {
+    fn since_boot(&self) -> SinceBoot {
+        let state = self.sim.state();
+        state.now.mul_f64(state.nodes[self.node].rate)
+    }
+}
