Draw two upstreams by room, speed and nearness

Ruled out: too few slots; the admission. Change: two are drawn by weight, the lesser expected completion wins; near ones weigh more while they have room.

--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -16,7 +16,7 @@
 use ibiscove_http::{Pool, SendError};
 use ibiscove_mesh::Members;
 use ibiscove_ranges::RangeMaps;
-use ibiscove_routing::placement::Candidate;
+use ibiscove_routing::placement::{Candidate, Distance};
 use ibiscove_routing::retry::{self, Failure, Next, RetryBudget};
 use ibiscove_types::{Clock, DataCentre, Key, NodeName, Outcome, Reason, ServiceName};
 use smol::future::FutureExt;
@@ -486,6 +486,7 @@
         }
         let load = parts.gate.load();
         Some(Candidate {
+            distance: Distance::Beside,
             round_trip: Duration::ZERO,
             load: f64::from(load.load),
             slots: f64::from(present.announced.slots),
--- a/crates/proxy/src/targets.rs
+++ b/crates/proxy/src/targets.rs
@@ -1,7 +1,7 @@
 //! What an entry knows of the upstreams that it may send requests to.
 
 use ibiscove_mesh::{Member, Members};
-use ibiscove_routing::placement::{self, Candidate, FailureRate};
+use ibiscove_routing::placement::{self, Candidate, Distance, FailureRate};
 use ibiscove_types::{DataCentre, NodeName};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -95,15 +95,16 @@
         else {
             return;
         };
-        let round_trip = match member.data_centre == *own {
-            true => distances.within,
-            false => distances.across,
+        let (distance, round_trip) = match member.data_centre == *own {
+            true => (Distance::Near, distances.within),
+            false => (Distance::Far, distances.across),
         };
         self.targets.push(Target {
             node: Arc::clone(&member.name),
             gate: Some(member.gate),
         });
         self.candidates.push(Candidate {
+            distance,
             round_trip,
             load: f64::from(upstream.load),
             slots: f64::from(upstream.slots),
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -1,9 +1,11 @@
 //! Which upstream of a shared service gets a request.
 //!
-//! The least expected completion wins: the way there, the wait behind what
-//! runs and waits there, and the usual time at its speed. An upstream that
-//! fails part of its requests counts as that much slower, so that it keeps a
-//! trickle by which its recovery is seen.
+//! What an entry knows of the load is as old as a request is long, and others
+//! know the same, so the best upstream by that knowledge is soon the worst. Two
+//! are drawn, by the room that they have at their speed and how near they are,
+//! and the one with the least expected completion of the two gets the request.
+//! An upstream that fails part of its requests counts as that much slower, so
+//! that it keeps a trickle by which its recovery is seen.
 
 use std::time::Duration;
 
@@ -13,13 +15,32 @@
 const MAX_FAILURE_RATE: f64 = 0.95;
 /// Cost of a cold upstream's time against its usual one.
 const COLD_FACTOR: f64 = 2.0;
-/// Share by which costs are varied, so that entries with the same view do not
-/// all choose alike.
-const JITTER: f64 = 0.15;
+/// How much more often an upstream of the same data centre is drawn while it
+/// has room.
+const NEAR_WEIGHT: f64 = 4.0;
+/// The same for the upstream beside the entry.
+const BESIDE_WEIGHT: f64 = 6.0;
+/// Utilisation up to which an upstream counts as having room.
+const ROOMY: f64 = 0.7;
+/// Least room that an upstream is drawn by, as a share of its slots.
+const MIN_ROOM: f64 = 0.05;
+
+/// How far an upstream is from the entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Distance {
+    /// On the same machine.
+    Beside,
+    /// In the same data centre.
+    Near,
+    /// In another data centre.
+    Far,
+}
 
 /// An upstream that may get a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Candidate {
+    /// Where it is.
+    pub distance: Distance,
     /// Time to its node and back.
     pub round_trip: Duration,
     /// Requests that run or wait there, as far as known.
@@ -50,14 +71,53 @@
     (candidate.round_trip.as_secs_f64() + time + wait) / (1.0 - failure_rate).powi(2)
 }
 
+/// How often an upstream is drawn against others.
+pub fn weight(candidate: &Candidate) -> f64 {
+    let slots = candidate.slots.max(1.0);
+    let utilisation = candidate.load / slots;
+    let room = (1.0 - utilisation).max(MIN_ROOM);
+    let mut time = candidate.service_time.as_secs_f64().max(1e-3);
+    if candidate.is_cold {
+        time *= COLD_FACTOR;
+    }
+    let nearness = match candidate.distance {
+        Distance::Beside if utilisation < ROOMY => BESIDE_WEIGHT,
+        Distance::Near if utilisation < ROOMY => NEAR_WEIGHT,
+        _ => 1.0,
+    };
+    let failure_rate = candidate.failure_rate.clamp(0.0, MAX_FAILURE_RATE);
+    nearness * room * (slots / time) * (1.0 - failure_rate).powi(2)
+}
+
 /// Chooses among candidates; one that was tried only when there is no other.
 pub fn choose(candidates: &[Candidate], rng: &mut fastrand::Rng) -> Option<usize> {
     let any_untried = candidates.iter().any(|candidate| !candidate.was_tried);
-    (0..candidates.len())
-        .filter(|i| !(any_untried && candidates[*i].was_tried))
-        .map(|i| (i, cost(&candidates[i]) * (1.0 + JITTER * rng.f64())))
-        .min_by(|a, b| a.1.total_cmp(&b.1))
-        .map(|(i, _)| i)
+    let weights: Vec<f64> = candidates
+        .iter()
+        .map(|candidate| match any_untried && candidate.was_tried {
+            true => 0.0,
+            false => weight(candidate),
+        })
+        .collect();
+    let first = draw(&weights, rng)?;
+    let second = draw(&weights, rng)?;
+    match cost(&candidates[second]) < cost(&candidates[first]) {
+        true => Some(second),
+        false => Some(first),
+    }
+}
+
+fn draw(weights: &[f64], rng: &mut fastrand::Rng) -> Option<usize> {
+    let total: f64 = weights.iter().sum();
+    let mut point = rng.f64() * total;
+    for (i, weight) in weights.iter().enumerate() {
+        if point < *weight {
+            return Some(i);
+        }
+        point -= weight;
+    }
+    // Rounding may leave the point just past the last weight.
+    weights.iter().rposition(|weight| *weight > 0.0)
 }
 
 /// Share of recent requests that failed, newest weighing most.
