Fast owners get more keys; estimates resist first samples and the tail

Ruled out: too few slots (a third in use). Change: an owner half as fast again with room is given keys; a free slot is never refused; first samples and outliers count for at most a few times the usual; waits for a newer map are short.

--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -265,6 +265,7 @@
             key,
             idempotent: route.idempotent,
             priority: route.priority,
+            target_latency: route.target_latency,
             target: arrived + self.target_left(route, wants),
             deadline: arrived + wants.min(route.timeout),
             origin: parts.identity.service.clone(),
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -24,6 +24,8 @@
     pub idempotent: bool,
     /// Its rank.
     pub priority: Priority,
+    /// Time within which its route wants answers.
+    pub target_latency: Duration,
     /// When it is answered in full worth.
     pub target: Instant,
     /// When its caller stops waiting.
@@ -44,6 +46,7 @@
     key: Option<Key>,
     idempotent: bool,
     priority: Priority,
+    latency_ms: u64,
     target_ms: u64,
     left_ms: u64,
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -65,6 +68,7 @@
             key: self.key,
             idempotent: self.idempotent,
             priority: self.priority,
+            latency_ms: u64::try_from(self.target_latency.as_millis()).unwrap_or(u64::MAX),
             target_ms: left(self.target),
             left_ms: left(self.deadline),
             origin: self.origin.clone(),
@@ -84,6 +88,7 @@
             key: fields.key,
             idempotent: fields.idempotent,
             priority: fields.priority,
+            target_latency: Duration::from_millis(fields.latency_ms),
             target: now + Duration::from_millis(fields.target_ms),
             deadline: now + Duration::from_millis(fields.left_ms),
             origin: fields.origin,
--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -60,6 +60,9 @@
     pub answer_slack: Duration,
     /// Weight of a new time in the usual time of a route.
     pub time_weight: f64,
+    /// Weight of a new time in the usual time of all requests; smaller, since
+    /// routes differ.
+    pub overall_weight: f64,
 }
 
 impl Default for GateSettings {
@@ -69,6 +72,7 @@
             max_idle: Duration::from_secs(3),
             answer_slack: Duration::from_millis(20),
             time_weight: 0.1,
+            overall_weight: 0.03,
         }
     }
 }
@@ -319,7 +323,7 @@
     /// Waits for a slot of the upstream.
     async fn permit(&self, work: &Work) -> Result<Permit<K, C>, Refusal> {
         let now = self.inner.clock.now();
-        let estimate = self.estimate(work, now);
+        let estimate = self.estimate(work);
         let ask = Ask {
             priority: work.priority,
             target: work.target,
@@ -437,12 +441,11 @@
             .saturating_duration_since(self.inner.clock.now())
     }
 
-    fn estimate(&self, work: &Work, now: Instant) -> Duration {
+    fn estimate(&self, work: &Work) -> Duration {
         let times = self.inner.times();
         match times.by_route.get(&work.route) {
             Some(usual) => Duration::from_secs_f64(*usual),
-            // Targets are commonly set at a few times the usual time.
-            None => work.target.saturating_duration_since(now) / 4,
+            None => estimate_at_first(work),
         }
     }
 
@@ -450,15 +453,26 @@
         let took = took.as_secs_f64();
         let weight = self.inner.settings.time_weight;
         let mut times = self.inner.times();
+        // The first ones and those in the tail must not pass for the usual.
+        let first = took.min(estimate_at_first(work).as_secs_f64());
         let usual = times
             .by_route
             .entry(Arc::clone(&work.route))
-            .or_insert(took);
-        *usual += (took - *usual) * weight;
+            .or_insert(first);
+        *usual += (took.min(*usual * MAX_OUTLIER) - *usual) * weight;
         let all = times.all.get_or_insert(took);
-        *all += (took - *all) * weight;
+        *all += (took - *all) * self.inner.settings.overall_weight;
     }
 }
 
+/// Targets are commonly set at a few times the usual time.
+const USUAL_IN_TARGET: u32 = 4;
+/// How many times the usual a time counts at most.
+const MAX_OUTLIER: f64 = 3.0;
 /// Time of a request at an upstream of which nothing is known yet.
 const DEFAULT_TIME: Duration = Duration::from_millis(50);
+
+/// The usual time of a route of which nothing is known yet.
+fn estimate_at_first(work: &Work) -> Duration {
+    work.target_latency / USUAL_IN_TARGET
+}
--- a/crates/ranges/src/balance.rs
+++ b/crates/ranges/src/balance.rs
@@ -8,6 +8,7 @@
 use crate::load::KeyLoad;
 use crate::map::{KeyRange, Owner, RangeMap};
 use ibiscove_types::Key;
+use std::time::Duration;
 
 /// Ranges that each member gets at the first division. Interleaved pieces
 /// spread busy neighbours; each costs one grant call at every renewal.
@@ -21,6 +22,12 @@
 pub const BUSY: f64 = 0.75;
 /// Least difference in utilisation that is worth a move.
 pub const WORTHWHILE: f64 = 0.4;
+/// Utilisation up to which a faster upstream is given more.
+const ROOMY: f64 = 0.55;
+/// How many times faster another must be for keys to move there.
+const FASTER: f64 = 1.5;
+/// Utilisation below which an owner's speed matters to few.
+const WORTH_SPEEDING_UP: f64 = 0.2;
 /// Share of the difference that one move takes away. Below a half, so that two
 /// owners never trade places.
 const MOVED_SHARE: f64 = 0.4;
@@ -34,6 +41,8 @@
     pub owner: Owner,
     /// Requests that run or wait, for each slot.
     pub utilisation: f64,
+    /// Usual time of a request there.
+    pub service_time: Duration,
 }
 
 /// Divides `ranges` among the candidates, each piece to whoever has fewest
@@ -85,7 +94,7 @@
     })
 }
 
-/// What a busy owner gives to the least busy other, if that is worth a move.
+/// What a busy or slow owner gives to another, if that is worth a move.
 ///
 /// It takes the keys at one end of a range whose work comes closest to what
 /// should go: a part of a hot neighbourhood, or the neighbours of one hot key,
@@ -96,6 +105,22 @@
     load: &KeyLoad,
     others: &[Candidate],
 ) -> Option<(KeyRange, Owner)> {
+    let (to, share) = relief(own, others).or_else(|| speed_up(own, others))?;
+    let pieces = |owner: &Owner| map.owned_by(owner).count();
+    if pieces(&own.owner) >= MAX_PIECES || pieces(&to.owner) >= MAX_PIECES {
+        return None;
+    }
+    let wanted = load.total() * share;
+    let best = map
+        .owned_by(&own.owner)
+        .flat_map(|a| [prefix(a.range, load, wanted), suffix(a.range, load, wanted)])
+        .flatten()
+        .min_by(|a, b| (a.1 - wanted).abs().total_cmp(&(b.1 - wanted).abs()))?;
+    Some((best.0, to.owner.clone()))
+}
+
+/// What share of its load a busy owner gives to the least busy other.
+fn relief<'a>(own: &Candidate, others: &'a [Candidate]) -> Option<(&'a Candidate, f64)> {
     let least = others
         .iter()
         .min_by(|a, b| a.utilisation.total_cmp(&b.utilisation))?;
@@ -103,17 +128,26 @@
     if own.utilisation < BUSY || difference < WORTHWHILE {
         return None;
     }
-    let pieces = |owner: &Owner| map.owned_by(owner).count();
-    if pieces(&own.owner) >= MAX_PIECES || pieces(&least.owner) >= MAX_PIECES {
+    Some((least, MOVED_SHARE * difference / own.utilisation))
+}
+
+/// What share of its load a slow owner gives to the fastest other that has
+/// room: the same keys are answered sooner there.
+fn speed_up<'a>(own: &Candidate, others: &'a [Candidate]) -> Option<(&'a Candidate, f64)> {
+    let is_faster = |other: &&Candidate| {
+        other.utilisation < ROOMY && other.service_time.mul_f64(FASTER) < own.service_time
+    };
+    let fastest = others
+        .iter()
+        .filter(is_faster)
+        .min_by_key(|other| other.service_time)?;
+    if own.utilisation < WORTH_SPEEDING_UP {
         return None;
     }
-    let wanted = load.total() * MOVED_SHARE * difference / own.utilisation;
-    let best = map
-        .owned_by(&own.owner)
-        .flat_map(|a| [prefix(a.range, load, wanted), suffix(a.range, load, wanted)])
-        .flatten()
-        .min_by(|a, b| (a.1 - wanted).abs().total_cmp(&(b.1 - wanted).abs()))?;
-    Some((best.0, least.owner.clone()))
+    // What fills the other's room, in this owner's slower time.
+    let room =
+        (ROOMY - fastest.utilisation) * own.service_time.div_duration_f64(fastest.service_time);
+    Some((fastest, (MOVED_SHARE * room / own.utilisation).min(1.0)))
 }
 
 /// The first keys of a range whose work comes to `wanted`, with that work.
--- a/crates/ranges/src/keeper.rs
+++ b/crates/ranges/src/keeper.rs
@@ -99,6 +99,7 @@
     load: KeyLoad,
     watch: Watch,
     utilisation: f64,
+    service_time: Duration,
     /// Transfers of own ranges that are released and wait to be written.
     pending: Vec<Transfer>,
     /// When a range was last moved for the sake of load.
@@ -144,6 +145,7 @@
                     load: KeyLoad::new(now),
                     watch: Watch::default(),
                     utilisation: 0.0,
+                    service_time: Duration::ZERO,
                     pending: Vec::new(),
                     balanced: None,
                     joined: None,
@@ -240,11 +242,13 @@
         self.state().load.note(key, took, now);
     }
 
-    /// Requests that run or wait at the gate, for each slot.
-    pub fn note_utilisation(&self, utilisation: f64) {
+    /// Requests that run or wait at the gate, for each slot, and the usual time
+    /// of one.
+    pub fn note_utilisation(&self, utilisation: f64, service_time: Duration) {
         /// Weight of a new sample; samples come a few times a second.
         const WEIGHT: f64 = 0.3;
         let mut state = self.state();
+        state.service_time = service_time;
         state.utilisation += (utilisation - state.utilisation) * WEIGHT;
     }
 
--- a/crates/ranges/src/keeper/moving.rs
+++ b/crates/ranges/src/keeper/moving.rs
@@ -169,6 +169,7 @@
         let own = Candidate {
             owner: own.clone(),
             utilisation: state.utilisation,
+            service_time: state.service_time,
         };
         balance::shed(map, &own, &state.load, &others)
     }
@@ -258,5 +259,6 @@
     Some(Candidate {
         owner: owner_of(member)?,
         utilisation: f64::from(upstream.load) / f64::from(upstream.slots.max(1)),
+        service_time: upstream.service_time,
     })
 }
--- a/crates/router/src/upkeep.rs
+++ b/crates/router/src/upkeep.rs
@@ -26,7 +26,8 @@
             }
             if let (Some(keeper), Some(present)) = (inner.keeper.get(), inner.beside.present()) {
                 let slots = f64::from(present.announced.slots.max(1));
-                keeper.note_utilisation(f64::from(inner.gate.load().load) / slots);
+                let load = inner.gate.load();
+                keeper.note_utilisation(f64::from(load.load) / slots, load.service_time);
             }
             looks += 1;
             if looks.is_multiple_of(LOOKS_PER_PRUNE) {
--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -94,11 +94,7 @@
     /// Asks for a request. `item` is kept while it waits.
     pub fn offer(&mut self, ask: Ask, item: impl FnOnce() -> T, now: Instant) -> Verdict {
         if self.running < self.concurrency && self.waiting.is_empty() {
-            if now + ask.estimate.mul_f64(HOPELESS_SHARE) > ask.deadline {
-                return Verdict::Refuse {
-                    retry_after: Duration::ZERO,
-                };
-            }
+            // An estimate may be wrong, and only trying corrects it.
             self.start(&ask);
             return Verdict::Run;
         }
--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -12,6 +12,8 @@
 const FIRST_WAIT: Duration = Duration::from_millis(4);
 /// Longest wait before another attempt.
 const MAX_WAIT: Duration = Duration::from_millis(100);
+/// Longest wait for a newer map. Asking a gate again costs its upstream nothing.
+const MAX_MAP_WAIT: Duration = Duration::from_millis(25);
 /// Attempts in all that are paid from the budget.
 const MAX_CHARGED_ATTEMPTS: u32 = 4;
 
@@ -82,7 +84,11 @@
     if charged && failure.attempts >= MAX_CHARGED_ATTEMPTS {
         return Next::Stop;
     }
-    let wait = backoff(failure.attempts, rng);
+    let max_wait = match charged {
+        true => MAX_WAIT,
+        false => MAX_MAP_WAIT,
+    };
+    let wait = backoff(failure.attempts, max_wait, rng);
     if wait >= failure.remaining {
         return Next::Stop;
     }
@@ -91,9 +97,9 @@
 
 /// A wait that doubles with each attempt, the upper half of it by chance so
 /// that callers who failed together do not come back together.
-fn backoff(attempts: u32, rng: &mut fastrand::Rng) -> Duration {
+fn backoff(attempts: u32, max_wait: Duration, rng: &mut fastrand::Rng) -> Duration {
     let doublings = attempts.saturating_sub(1).min(u16::BITS);
-    let wait = FIRST_WAIT.saturating_mul(1 << doublings).min(MAX_WAIT);
+    let wait = FIRST_WAIT.saturating_mul(1 << doublings).min(max_wait);
     wait.mul_f64(0.5 + rng.f64() / 2.0)
 }
 
--- a/crates/routing/tests/retry.rs
+++ b/crates/routing/tests/retry.rs
@@ -13,6 +13,7 @@
         idempotent,
         attempts: 1,
         remaining: Duration::from_secs(1),
+        has_others: false,
     }
 }
 
