--- /dev/null
+++ b/crates/ranges/tests/balance.rs
@@ -0,0 +1,147 @@
+//! Where keys go: the first division, joiners, hot neighbourhoods, one hot key,
+//! slow owners.
+
+use ibiscove_ranges::balance::{Candidate, PIECES_PER_MEMBER, Why, divide, share_for_joiner, shed};
+use ibiscove_ranges::load::KeyLoad;
+use ibiscove_ranges::map::Transfer;
+use ibiscove_ranges::{KeyRange, Owner, RangeMap};
+use ibiscove_types::{Key, UpstreamLife};
+use std::time::{Duration, Instant};
+
+fn owner(name: &str) -> Owner {
+    Owner {
+        node: name.into(),
+        life: UpstreamLife {
+            id: format!("upstream-{name}").into(),
+            born_ms: 1,
+        },
+    }
+}
+
+fn candidate(name: &str, utilisation: f64, millis: u64) -> Candidate {
+    Candidate {
+        owner: owner(name),
+        utilisation,
+        service_time: Duration::from_millis(millis),
+    }
+}
+
+fn divided(names: &[&str]) -> RangeMap {
+    let owners: Vec<_> = names.iter().map(|name| owner(name)).collect();
+    let map = RangeMap::unowned();
+    let transfers: Vec<_> = divide(&map, &[KeyRange::ALL], &owners)
+        .into_iter()
+        .map(|(range, owner)| Transfer {
+            range,
+            to: Some(owner),
+            handover: None,
+        })
+        .collect();
+    map.with(&transfers)
+}
+
+/// A whole window in which each of `keys` kept `busy` slots busy.
+fn load(keys: impl Iterator<Item = (Key, f64)>) -> KeyLoad {
+    let began = Instant::now();
+    let mut load = KeyLoad::new(began);
+    for (key, busy) in keys {
+        load.note(key, Duration::from_secs_f64(busy), began);
+    }
+    load.roll(began + Duration::from_secs(1));
+    load
+}
+
+#[test]
+fn the_first_division_is_even_and_spreads_neighbours() {
+    let map = divided(&["a", "b", "c", "d", "e"]);
+    for name in ["a", "b", "c", "d", "e"] {
+        let width = map.width_of_node(name);
+        assert!((12_000..14_500).contains(&width), "{name} has {width} keys");
+        assert!(map.owned_by_node(name).count() >= PIECES_PER_MEMBER - 1);
+    }
+    let owners = map.assignments().windows(2);
+    assert!(
+        owners
+            .into_iter()
+            .all(|pair| pair[0].owner != pair[1].owner)
+    );
+}
+
+#[test]
+fn a_joiner_is_given_keys_by_one_owner_at_a_time() {
+    let map = divided(&["a", "b", "c"]);
+    let owners = ["a", "b", "c"].map(owner);
+    let members = |own: &Owner| -> Vec<Owner> {
+        let others = owners.iter().filter(|other| *other != own).cloned();
+        others.chain([owner("joiner")]).collect()
+    };
+    let gifts: Vec<_> = owners
+        .iter()
+        .filter_map(|own| share_for_joiner(&map, own, &members(own)))
+        .collect();
+    assert_eq!(gifts.len(), 1);
+    assert_eq!(gifts[0].1, owner("joiner"));
+}
+
+#[test]
+fn a_member_with_its_share_is_given_nothing() {
+    let map = divided(&["a", "b", "c"]);
+    let others = [owner("b"), owner("c")];
+    assert_eq!(share_for_joiner(&map, &owner("a"), &others), None);
+}
+
+#[test]
+fn a_hot_neighbourhood_is_parted() {
+    let map = divided(&["a", "b", "c"]);
+    let hot = map.owned_by_node("a").next().expect("a owns keys").range;
+    let load = load((hot.first..hot.first + 200).map(|key| (key, 0.1)));
+    let own = candidate("a", 2.0, 50);
+    let others = [candidate("b", 0.5, 50), candidate("c", 0.2, 50)];
+    let (range, to) = shed(Why::Busy, &map, &own, &load, &others).expect("a gives keys");
+    assert_eq!(to, owner("c"), "the least busy is given them");
+    let moved: f64 = load.of_range(range).map(|(_, work)| work).sum();
+    assert!(
+        moved > 3.0 && moved < 12.0,
+        "{moved} of {} moved",
+        load.total()
+    );
+}
+
+#[test]
+fn the_neighbours_of_one_hot_key_leave_it() {
+    let map = divided(&["a", "b"]);
+    let hot = map.owned_by_node("a").next().expect("a owns keys").range;
+    let keys = (hot.first..=hot.first + 20).map(|key| match key == hot.first + 10 {
+        true => (key, 5.0),
+        false => (key, 0.05),
+    });
+    let load = load(keys);
+    let own = candidate("a", 1.5, 50);
+    let (range, _) = shed(Why::Busy, &map, &own, &load, &[candidate("b", 0.1, 50)])
+        .expect("a gives the neighbours");
+    assert!(
+        !range.contains(hot.first + 10),
+        "the hot key would only carry its load along"
+    );
+}
+
+#[test]
+fn an_even_load_stays_where_it_is() {
+    let map = divided(&["a", "b"]);
+    let load = load((0..1_000).map(|key| (key, 0.01)));
+    let own = candidate("a", 0.9, 50);
+    let others = [candidate("b", 0.8, 50)];
+    assert_eq!(shed(Why::Busy, &map, &own, &load, &others), None);
+    assert_eq!(shed(Why::Slow, &map, &own, &load, &others), None);
+}
+
+#[test]
+fn a_slow_owner_gives_keys_to_a_faster_one_with_room() {
+    let map = divided(&["a", "b", "c"]);
+    let load = load((0..20_000).map(|key| (key, 0.0002)));
+    let own = candidate("a", 0.4, 120);
+    let full = candidate("b", 0.9, 40);
+    let roomy = candidate("c", 0.2, 60);
+    let (_, to) = shed(Why::Slow, &map, &own, &load, &[full, roomy]).expect("a gives keys");
+    assert_eq!(to, owner("c"));
+}
--- /dev/null
+++ b/crates/routing/tests/admission.rs
@@ -0,0 +1,119 @@
+//! Who runs, waits or is refused at a gate, by load pattern.
+
+use ibiscove_routing::admission::{Admission, Ask, Left, Verdict};
+use std::time::{Duration, Instant};
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn ask(now: Instant, priority: u8, estimate: u64, target: u64, deadline: u64) -> Ask {
+    Ask {
+        priority,
+        target: now + ms(target),
+        deadline: now + ms(deadline),
+        estimate: ms(estimate),
+    }
+}
+
+fn full(slots: usize, estimate: u64, now: Instant) -> Admission<&'static str> {
+    let mut admission = Admission::new(slots);
+    for _ in 0..slots {
+        let verdict = admission.offer(ask(now, 0, estimate, 10_000, 10_000), || "running", now);
+        assert_eq!(verdict, Verdict::Run);
+    }
+    admission
+}
+
+#[test]
+fn a_free_slot_is_never_refused_however_long_the_estimate() {
+    let now = Instant::now();
+    let mut admission = Admission::new(1);
+    let hopeless = ask(now, 2, 900, 100, 200);
+    assert_eq!(admission.offer(hopeless, || "trial", now), Verdict::Run);
+}
+
+#[test]
+fn a_burst_is_refused_at_once_where_it_cannot_end_in_time() {
+    let now = Instant::now();
+    let mut admission = full(2, 100, now);
+    let mut waiting = 0;
+    let refused = loop {
+        match admission.offer(ask(now, 1, 100, 400, 500), || "burst", now) {
+            Verdict::Wait(_) => waiting += 1,
+            Verdict::Refuse { retry_after } => break retry_after,
+            Verdict::Run => panic!("no slot is free"),
+        }
+    };
+    // Two slots clear 20 requests a second: 400 ms of waiting fit eight.
+    assert!((5..=9).contains(&waiting), "{waiting} wait");
+    assert!(
+        refused >= ms(200) && refused <= ms(600),
+        "told to return after {refused:?}"
+    );
+}
+
+#[test]
+fn the_more_urgent_priority_goes_first_even_when_late() {
+    let now = Instant::now();
+    let mut admission = full(1, 100, now);
+    admission.offer(ask(now, 2, 100, 1_000, 2_500), || "archive", now);
+    admission.offer(ask(now, 0, 60, 50, 600), || "deposit", now);
+    let left = admission.ended(ms(100), now);
+    assert_eq!(left, vec![Left::Run("deposit")]);
+}
+
+#[test]
+fn within_a_priority_those_that_meet_their_target_go_before_the_late() {
+    let now = Instant::now();
+    let mut admission = full(1, 100, now);
+    admission.offer(ask(now, 1, 50, 20, 2_000), || "late", now);
+    admission.offer(ask(now, 1, 50, 900, 2_000), || "relaxed", now);
+    admission.offer(ask(now, 1, 50, 400, 2_000), || "pressing", now);
+    let mut order = Vec::new();
+    for _ in 0..3 {
+        order.extend(admission.ended(ms(50), now));
+    }
+    let expected = ["pressing", "relaxed", "late"].map(Left::Run);
+    assert_eq!(order, expected);
+}
+
+#[test]
+fn what_became_hopeless_in_the_queue_is_refused_and_not_run() {
+    let now = Instant::now();
+    let mut admission = full(1, 10, now);
+    admission.offer(ask(now, 1, 50, 60, 100), || "stale", now);
+    admission.offer(ask(now, 1, 50, 800, 900), || "fresh", now);
+    let later = now + ms(90);
+    let left = admission.ended(ms(10), later);
+    assert!(matches!(left[0], Left::Refuse("stale", _)));
+    assert_eq!(left[1], Left::Run("fresh"));
+}
+
+#[test]
+fn a_caller_that_left_makes_room() {
+    let now = Instant::now();
+    let mut admission = full(1, 100, now);
+    let Verdict::Wait(ticket) = admission.offer(ask(now, 1, 100, 400, 800), || "gone", now) else {
+        panic!("it waits");
+    };
+    assert_eq!(admission.load(), 2);
+    assert_eq!(admission.cancel(&ticket), Some("gone"));
+    assert_eq!(admission.load(), 1);
+    assert!(admission.ended(ms(100), now).is_empty());
+}
+
+/// A retry storm: however many ask, the work that is let in fits the deadline.
+#[test]
+fn a_retry_storm_does_not_lengthen_the_queue() {
+    let now = Instant::now();
+    let mut admission = full(4, 50, now);
+    for _ in 0..10_000 {
+        admission.offer(ask(now, 1, 50, 200, 400), || "storm", now);
+    }
+    assert!(
+        admission.load() <= 4 + 4 * 8,
+        "{} run or wait",
+        admission.load()
+    );
+}
