The late starve no more, calls go first, a hot key goes to the fastest upstream

Ruled out: telling calls by address or header. Change: the late wait only while half of the late are served; a route whose callers hardly ever bring their full time is one of calls, ranked first; a key that is most of a busy owner's load moves to the fastest upstream.

--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -16,6 +16,7 @@
 use ibiscove_http::{Pool, SendError};
 use ibiscove_mesh::Members;
 use ibiscove_ranges::RangeMaps;
+use ibiscove_routing::patience::Patience;
 use ibiscove_routing::placement::{Candidate, Distance};
 use ibiscove_routing::retry::{self, Failure, Next, RetryBudget};
 use ibiscove_types::{Clock, DataCentre, Key, NodeName, Outcome, Reason, ServiceName};
@@ -114,8 +115,8 @@
     parts: EntryParts<K, C>,
     targets: Targets,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
-    /// Longest time that callers of each route have been willing to wait.
-    patience: Mutex<HashMap<Arc<str>, Duration>>,
+    /// How long callers of each route are willing to wait.
+    patience: Mutex<HashMap<Arc<str>, Patience>>,
 }
 
 /// One request at its entry.
@@ -258,15 +259,19 @@
         headers::remove_between_nodes(&mut passed_on);
         let mut route_headers = passed_on;
         route_headers.insert(names.request_id.clone(), headers::value(&request_id));
+        let patience = self.patience(route, wants);
         let work = Work {
             service: Arc::clone(service),
             route: Arc::clone(&route.name),
             request_id,
             key,
             idempotent: route.idempotent,
-            priority: route.priority,
+            priority: match patience.is_nested() {
+                true => 0,
+                false => route.priority,
+            },
             target_latency: route.target_latency,
-            target: arrived + self.target_left(route, wants),
+            target: arrived + patience.target_left(route.target_latency, wants),
             deadline: arrived + wants.min(route.timeout),
             origin: parts.identity.service.clone(),
             entry: Arc::clone(&parts.identity.node),
@@ -287,26 +292,16 @@
         Ok((Arc::clone(route), plan))
     }
 
-    /// How long an answer is of full worth. A caller that was refused and came
-    /// back has less time left than callers of its route have at first, and its
-    /// answer is judged from then.
-    fn target_left(&self, route: &Route, wants: Duration) -> Duration {
-        let mut patience = self
+    /// What the time that a caller is willing to wait tells of its request.
+    fn patience(&self, route: &Route, wants: Duration) -> Patience {
+        let mut all = self
             .inner
             .patience
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
-        let longest = match patience.get_mut(&route.name) {
-            Some(longest) => {
-                *longest = wants.max(*longest);
-                *longest
-            }
-            None => {
-                patience.insert(Arc::clone(&route.name), wants);
-                wants
-            }
-        };
-        route.target_latency.saturating_sub(longest - wants)
+        let known = all.entry(Arc::clone(&route.name)).or_default();
+        known.note(wants);
+        *known
     }
 
     async fn read_body(
--- a/crates/ranges/src/balance.rs
+++ b/crates/ranges/src/balance.rs
@@ -22,6 +22,8 @@
 pub const BUSY: f64 = 0.75;
 /// Least difference in utilisation that is worth a move.
 pub const WORTHWHILE: f64 = 0.4;
+/// Share of an owner's load from which one key is its load.
+const DOMINANT: f64 = 0.6;
 /// Utilisation up to which a faster upstream is given more.
 const ROOMY: f64 = 0.55;
 /// How many times faster another must be for keys to move there.
@@ -108,6 +110,31 @@
     (share > 0).then(|| (KeyRange { first, last }, joiner.clone()))
 }
 
+/// Where the hottest key of a busy owner goes when it alone is most of the load:
+/// the fastest upstream, if that is faster by far. Its neighbours leave it there
+/// by [`shed`], as they do here.
+pub fn lift_hottest(
+    own: &Candidate,
+    load: &KeyLoad,
+    others: &[Candidate],
+) -> Option<(KeyRange, Owner)> {
+    let (key, work) = load
+        .of_range(KeyRange::ALL)
+        .max_by(|a, b| a.1.total_cmp(&b.1))?;
+    if own.utilisation < BUSY || work < load.total() * DOMINANT {
+        return None;
+    }
+    let fastest = others.iter().min_by_key(|other| other.service_time)?;
+    if fastest.service_time.mul_f64(FASTER) >= own.service_time {
+        return None;
+    }
+    let range = KeyRange {
+        first: key,
+        last: key,
+    };
+    Some((range, fastest.owner.clone()))
+}
+
 /// Why an owner gives keys away.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Why {
--- a/crates/ranges/src/keeper/moving.rs
+++ b/crates/ranges/src/keeper/moving.rs
@@ -176,7 +176,11 @@
             utilisation: state.utilisation,
             service_time: state.service_time,
         };
-        balance::shed(why, map, &own, &state.load, &others)
+        match why {
+            Why::Busy => balance::lift_hottest(&own, &state.load, &others)
+                .or_else(|| balance::shed(why, map, &own, &state.load, &others)),
+            Why::Slow => balance::shed(why, map, &own, &state.load, &others),
+        }
     }
 
     async fn carry_out(&self, own: &Owner, moves: Vec<(KeyRange, Owner)>) {
--- a/crates/ranges/tests/balance.rs
+++ b/crates/ranges/tests/balance.rs
@@ -1,7 +1,9 @@
 //! Where keys go: the first division, joiners, hot neighbourhoods, one hot key,
 //! slow owners.
 
-use ibiscove_ranges::balance::{Candidate, PIECES_PER_MEMBER, Why, divide, share_for_joiner, shed};
+use ibiscove_ranges::balance::{
+    Candidate, PIECES_PER_MEMBER, Why, divide, lift_hottest, share_for_joiner, shed,
+};
 use ibiscove_ranges::load::KeyLoad;
 use ibiscove_ranges::map::Transfer;
 use ibiscove_ranges::{KeyRange, Owner, RangeMap};
@@ -145,3 +147,21 @@
     let (_, to) = shed(Why::Slow, &map, &own, &load, &[full, roomy]).expect("a gives keys");
     assert_eq!(to, owner("c"));
 }
+
+#[test]
+fn one_hot_key_goes_to_the_fastest_and_only_there() {
+    let load = load((100..=120).map(|key| (key, if key == 110 { 5.0 } else { 0.05 })));
+    let own = candidate("a", 2.0, 120);
+    let others = [candidate("b", 0.9, 40), candidate("c", 0.1, 110)];
+    let (range, to) = lift_hottest(&own, &load, &others).expect("it is lifted");
+    assert_eq!((range.first, range.last), (110, 110));
+    assert_eq!(to, owner("b"));
+    let slower = [candidate("c", 0.1, 110)];
+    assert_eq!(
+        lift_hottest(&own, &load, &slower),
+        None,
+        "it would gain nothing there"
+    );
+    let calm = candidate("a", 0.5, 120);
+    assert_eq!(lift_hottest(&calm, &load, &others), None);
+}
--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -67,6 +67,8 @@
     running_work: Duration,
     waiting: BTreeMap<Ticket, (Ask, T)>,
     next_number: u64,
+    /// Share of the late that were served lately.
+    late_served: f64,
 }
 
 impl<T> Admission<T> {
@@ -78,6 +80,7 @@
             running_work: Duration::ZERO,
             waiting: BTreeMap::new(),
             next_number: 0,
+            late_served: 1.0,
         }
     }
 
@@ -104,7 +107,11 @@
             true => LATE_CAUTION,
             false => 1.0,
         };
-        if now + wait.mul_f64(caution) + ask.estimate > ask.deadline {
+        let starves = ticket.misses_target && self.late_served < LATE_SERVED;
+        if starves {
+            self.late_served += LATE_RECOVERY;
+        }
+        if starves || now + wait.mul_f64(caution) + ask.estimate > ask.deadline {
             return Verdict::Refuse {
                 retry_after: self.drained_in(),
             };
@@ -116,7 +123,16 @@
 
     /// A request that waits was given up.
     pub fn cancel(&mut self, ticket: &Ticket) -> Option<T> {
-        self.waiting.remove(ticket).map(|(_, item)| item)
+        let (_, item) = self.waiting.remove(ticket)?;
+        self.note_late(ticket, false);
+        Some(item)
+    }
+
+    fn note_late(&mut self, ticket: &Ticket, is_served: bool) {
+        if ticket.misses_target {
+            let sample = if is_served { 1.0 } else { 0.0 };
+            self.late_served += (sample - self.late_served) * LATE_WEIGHT;
+        }
     }
 
     /// A request that ran has ended; gives those that leave the queue.
@@ -125,10 +141,12 @@
         self.running_work = self.running_work.saturating_sub(estimate);
         let mut left = Vec::new();
         while self.running < self.concurrency {
-            let Some((_, (ask, item))) = self.waiting.pop_first() else {
+            let Some((ticket, (ask, item))) = self.waiting.pop_first() else {
                 break;
             };
-            if now + ask.estimate.mul_f64(HOPELESS_SHARE) > ask.deadline {
+            let is_hopeless = now + ask.estimate.mul_f64(HOPELESS_SHARE) > ask.deadline;
+            self.note_late(&ticket, !is_hopeless);
+            if is_hopeless {
                 left.push(Left::Refuse(item, self.drained_in()));
                 continue;
             }
@@ -138,23 +156,6 @@
         left
     }
 
-    /// Requests that can no longer end in time, however soon they start.
-    pub fn hopeless(&mut self, now: Instant) -> Vec<(T, Duration)> {
-        let retry_after = self.drained_in();
-        let late = |ask: &Ask| now + ask.estimate > ask.deadline;
-        let tickets: Vec<Ticket> = self
-            .waiting
-            .iter()
-            .filter(|(_, (ask, _))| late(ask))
-            .map(|(ticket, _)| *ticket)
-            .collect();
-        tickets
-            .iter()
-            .filter_map(|ticket| self.cancel(ticket))
-            .map(|item| (item, retry_after))
-            .collect()
-    }
-
     /// How long until all that runs and waits now has ended.
     pub fn drained_in(&self) -> Duration {
         let waiting: Duration = self.waiting.values().map(|(ask, _)| ask.estimate).sum();
@@ -193,6 +194,14 @@
     }
 }
 
+/// Share of the late that must have been served lately for more to wait. Under
+/// lasting overload those that meet their targets pass them until it is too
+/// late, and a refusal at once serves their callers better.
+const LATE_SERVED: f64 = 0.5;
+/// Weight of one of the late in that share.
+const LATE_WEIGHT: f64 = 0.1;
+/// What each refusal adds to the share, so that it is tried again.
+const LATE_RECOVERY: f64 = 0.005;
 /// How much longer than estimated a request may wait that misses its target:
 /// those that can meet theirs go on passing it.
 const LATE_CAUTION: f64 = 2.0;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod limit;
 pub mod meter;
 pub mod outcomes;
+pub mod patience;
 pub mod placement;
 pub mod planner;
 pub mod queue;
--- a/crates/routing/tests/admission.rs
+++ b/crates/routing/tests/admission.rs
@@ -103,6 +103,27 @@
     assert!(admission.ended(ms(100), now).is_empty());
 }
 
+/// Lasting overload: those that meet their targets take every slot, so those
+/// that cannot are refused when they come and not after they have waited.
+#[test]
+fn under_lasting_overload_the_late_are_refused_at_once() {
+    let now = Instant::now();
+    let mut admission = full(1, 50, now);
+    let mut late_waited = 0;
+    for _ in 0..200 {
+        let late = admission.offer(ask(now, 1, 50, 10, 2_000), || "late", now);
+        if let Verdict::Wait(ticket) = late {
+            late_waited += 1;
+            // It is passed by others until its caller gives up.
+            admission.cancel(&ticket);
+        }
+        admission.offer(ask(now, 1, 50, 500, 2_000), || "in time", now);
+        admission.ended(ms(50), now);
+    }
+    assert!(late_waited < 30, "{late_waited} of 200 waited for nothing");
+    assert!(late_waited > 7, "it is tried again now and then");
+}
+
 /// A retry storm: however many ask, the work that is let in fits the deadline.
 #[test]
 fn a_retry_storm_does_not_lengthen_the_queue() {
