Fetch a thing from one peer at a time

Cause: on the grown fleet each heartbeat with a newer map or configuration began another fetch: 20,000 of them timed out within eight seconds of a rolling restart and took the 10 Mbit/s links. Ruled out: the size of the maps (they travel as changes), processor time. Change: one fetch of the configuration and one of each map at a time.

--- a/crates/router/src/behind.rs
+++ b/crates/router/src/behind.rs
@@ -6,6 +6,8 @@
 use ibiscove_ranges::Grantee;
 use ibiscove_store::Table;
 use ibiscove_types::{BootClock, Clock, RowVersion, ServiceName};
+use std::collections::BTreeSet;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 /// Time that a newer configuration is given to come by itself, before it is
@@ -22,20 +24,24 @@
         if let Some(keeper) = self.inner.keeper.get() {
             keeper.note_lease(member);
         }
-        if member.config_version > self.inner.config.version() {
-            smol::spawn(self.clone().fetch_config(member.clone())).detach();
+        if member.config_version > self.inner.config.version()
+            && let Some(fetching) = self.inner.fetching.begin(CONFIG)
+        {
+            let fetch = self.clone().fetch_config(member.clone(), fetching);
+            smol::spawn(fetch).detach();
         }
         for (service, version) in &member.maps {
-            if *version > self.inner.maps.version(service) {
-                let fetch = self
-                    .clone()
-                    .fetch_map(member.clone(), service.clone(), *version);
+            if *version > self.inner.maps.version(service)
+                && let Some(fetching) = self.inner.fetching.begin(service)
+            {
+                let service = service.clone();
+                let fetch = self.clone().fetch_map(member.clone(), service, *version, fetching);
                 smol::spawn(fetch).detach();
             }
         }
     }
 
-    async fn fetch_config(self, from: Member) {
+    async fn fetch_config(self, from: Member, _fetching: Fetching) {
         let inner = &self.inner;
         // A node without any configuration does not wait for its own feed.
         if inner.config.version() > 0 {
@@ -57,7 +63,13 @@
         }
     }
 
-    async fn fetch_map(self, from: Member, service: ServiceName, version: RowVersion) {
+    async fn fetch_map(
+        self,
+        from: Member,
+        service: ServiceName,
+        version: RowVersion,
+        _fetching: Fetching,
+    ) {
         let inner = &self.inner;
         let fetched =
             serving::fetch_map(&inner.peers, &inner.clock, from.gate, &service, &inner.maps).await;
@@ -70,3 +82,38 @@
         }
     }
 }
+
+/// Stands for the configuration among what is being fetched; no service has
+/// this name.
+const CONFIG: &str = "";
+
+/// What is being fetched now. While one answer is awaited the heartbeats of all
+/// other nodes tell of the same newer version.
+#[derive(Clone, Default)]
+pub(crate) struct InFetch(Arc<Mutex<BTreeSet<String>>>);
+
+/// A fetch under way; dropping it lets the next one begin.
+struct Fetching {
+    all: InFetch,
+    what: String,
+}
+
+impl InFetch {
+    /// Begins a fetch unless one of the same thing is under way.
+    fn begin(&self, what: &str) -> Option<Fetching> {
+        self.lock().insert(what.to_owned()).then(|| Fetching {
+            all: self.clone(),
+            what: what.to_owned(),
+        })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeSet<String>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for Fetching {
+    fn drop(&mut self) {
+        self.all.lock().remove(&self.what);
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -83,6 +83,8 @@
     peer_server: Server,
     /// Makes the next heartbeat due at once.
     pushed: Arc<Event>,
+    /// What is being fetched from other nodes.
+    fetching: behind::InFetch,
     leaving: AtomicBool,
     started: Instant,
 }
@@ -158,6 +160,7 @@
                 callers: Server::default(),
                 peer_server: Server::default(),
                 pushed,
+                fetching: behind::InFetch::default(),
                 leaving: AtomicBool::new(false),
                 settings,
             }),
