Wait for the next slot, not for all; judge lateness by priority

Ruled out: the rank (deposits went first once they were let in). Change: the wait ahead is what ranks before, plus one slot's share of the mean running time; the share of the late that are served is kept for each priority. A release that fails is tried again, ten at a time.

--- a/crates/ranges/src/keeper.rs
+++ b/crates/ranges/src/keeper.rs
@@ -38,6 +38,9 @@
 /// Shortest pause after a failed call to the table; half of it is drawn by
 /// chance, so that nodes that failed together do not come back together.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
+/// Releases that wait for their answers at a time, well below the connections
+/// that an upstream accepts.
+const MAX_RELEASES: usize = 10;
 /// Attempts at a change of the map before it is left to the next look.
 const MAX_ATTEMPTS: u32 = 6;
 
@@ -82,6 +85,9 @@
     announce: Arc<Event>,
     /// Held across a change of the map, so that there is one at a time.
     changing: smol::lock::Mutex<()>,
+    /// Releases that wait for their answers; each takes a connection of the
+    /// upstream.
+    releases: smol::lock::Semaphore,
     /// Held while released ranges are written, so that what becomes ready
     /// meanwhile goes into one transaction.
     batch: smol::lock::Mutex<()>,
@@ -153,6 +159,7 @@
                 wake: Event::new(),
                 announce,
                 changing: smol::lock::Mutex::new(()),
+                releases: smol::lock::Semaphore::new(MAX_RELEASES),
                 batch: smol::lock::Mutex::new(()),
             }),
         }
--- a/crates/ranges/src/keeper/moving.rs
+++ b/crates/ranges/src/keeper/moving.rs
@@ -20,6 +20,8 @@
 const SETTLE: Duration = Duration::from_millis(1_500);
 /// The same before keys move for the sake of speed, which is worth less.
 const SETTLE_SPEED: Duration = Duration::from_secs(5);
+/// Pause before a release is tried again.
+const RELEASE_RETRY: Duration = Duration::from_millis(60);
 /// Time between two looks for the answer to a grant.
 const ANSWER_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -219,13 +221,25 @@
         self.write_pending().await;
     }
 
+    /// Ends a grant. A busy upstream resets connections, and a release may be
+    /// repeated, so one that fails is tried again until the time is up.
     async fn release(&self, call: ReleaseCall) -> ReleaseReply {
+        let _few_at_a_time = self.inner.releases.acquire().await;
         let limit = self.inner.settings.grants.release_timeout;
         let timeout = async {
             self.inner.clock.sleep(limit).await;
             ReleaseReply::Unanswered
         };
-        let reply = self.inner.grantee.release(call.clone()).or(timeout).await;
+        let trying = async {
+            loop {
+                let reply = self.inner.grantee.release(call.clone()).await;
+                if reply != ReleaseReply::Unanswered {
+                    return reply;
+                }
+                self.inner.clock.sleep(RELEASE_RETRY).await;
+            }
+        };
+        let reply = trying.or(timeout).await;
         if reply == ReleaseReply::Unanswered {
             metrics::counter!("ibiscove_release_failures_total").increment(1);
             log::warn!(service = &*self.inner.service, first = call.range.first,
--- a/crates/router/src/behind.rs
+++ b/crates/router/src/behind.rs
@@ -35,7 +35,9 @@
                 && let Some(fetching) = self.inner.fetching.begin(service)
             {
                 let service = service.clone();
-                let fetch = self.clone().fetch_map(member.clone(), service, *version, fetching);
+                let fetch = self
+                    .clone()
+                    .fetch_map(member.clone(), service, *version, fetching);
                 smol::spawn(fetch).detach();
             }
         }
--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -67,8 +67,9 @@
     running_work: Duration,
     waiting: BTreeMap<Ticket, (Ask, T)>,
     next_number: u64,
-    /// Share of the late that were served lately.
-    late_served: f64,
+    /// Share of the late that were served lately, by priority; all where none
+    /// is noted.
+    late_served: BTreeMap<Priority, f64>,
 }
 
 impl<T> Admission<T> {
@@ -80,7 +81,7 @@
             running_work: Duration::ZERO,
             waiting: BTreeMap::new(),
             next_number: 0,
-            late_served: 1.0,
+            late_served: BTreeMap::new(),
         }
     }
 
@@ -107,10 +108,7 @@
             true => LATE_CAUTION,
             false => 1.0,
         };
-        let starves = ticket.misses_target && self.late_served < LATE_SERVED;
-        if starves {
-            self.late_served += LATE_RECOVERY;
-        }
+        let starves = ticket.misses_target && self.late_starve(ask.priority);
         if starves || now + wait.mul_f64(caution) + ask.estimate > ask.deadline {
             return Verdict::Refuse {
                 retry_after: self.drained_in(),
@@ -131,8 +129,21 @@
     fn note_late(&mut self, ticket: &Ticket, is_served: bool) {
         if ticket.misses_target {
             let sample = if is_served { 1.0 } else { 0.0 };
-            self.late_served += (sample - self.late_served) * LATE_WEIGHT;
+            let served = self.late_served.entry(ticket.priority).or_insert(1.0);
+            *served += (sample - *served) * LATE_WEIGHT;
+        }
+    }
+
+    /// Whether the late of a priority were mostly passed until it was too late.
+    fn late_starve(&mut self, priority: Priority) -> bool {
+        let Some(served) = self.late_served.get_mut(&priority) else {
+            return false;
+        };
+        let starve = *served < LATE_SERVED;
+        if starve {
+            *served += LATE_RECOVERY;
         }
+        starve
     }
 
     /// A request that ran has ended; gives those that leave the queue.
@@ -185,8 +196,10 @@
     fn wait_before(&self, ticket: &Ticket) -> Duration {
         let ahead = self.waiting.range(..ticket);
         let ahead: Duration = ahead.map(|(_, (ask, _))| ask.estimate).sum();
-        // Those that run have on average half of their work left.
-        self.spread(ahead + self.running_work / 2)
+        // The slots free up one after the other, each after its share of the
+        // mean time of those that run.
+        let mean = self.running_work / u32::try_from(self.running.max(1)).unwrap_or(u32::MAX);
+        self.spread(ahead + mean)
     }
 
     fn spread(&self, work: Duration) -> Duration {
--- a/crates/routing/tests/admission.rs
+++ b/crates/routing/tests/admission.rs
@@ -124,6 +124,30 @@
     assert!(late_waited > 7, "it is tried again now and then");
 }
 
+/// A shortage in which archive pulls hold every slot: deposits wait only for the
+/// next slot to free, and what befalls late archive pulls is not theirs.
+#[test]
+fn long_work_in_every_slot_does_not_refuse_the_urgent() {
+    let now = Instant::now();
+    let mut admission = full(6, 360, now);
+    for _ in 0..40 {
+        if let Verdict::Wait(ticket) =
+            admission.offer(ask(now, 2, 360, 0, 9_000), || "archive", now)
+        {
+            admission.cancel(&ticket);
+        }
+    }
+    let archive = admission.offer(ask(now, 2, 360, 0, 9_000), || "archive", now);
+    assert!(
+        matches!(archive, Verdict::Refuse { .. }),
+        "late archive pulls starve"
+    );
+    let deposit = admission.offer(ask(now, 0, 63, 200, 500), || "deposit", now);
+    assert!(matches!(deposit, Verdict::Wait(_)));
+    let late = admission.offer(ask(now, 0, 63, 10, 500), || "late deposit", now);
+    assert!(matches!(late, Verdict::Wait(_)));
+}
+
 /// A retry storm: however many ask, the work that is let in fits the deadline.
 #[test]
 fn a_retry_storm_does_not_lengthen_the_queue() {
