--- a/crates/ranges/src/keeper.rs
+++ b/crates/ranges/src/keeper.rs
@@ -55,6 +55,30 @@
     NotOwner,
 }
 
+/// What a keeper is given to work with.
+pub struct KeeperParts<T, G, C> {
+    /// Times.
+    pub settings: KeeperSettings,
+    /// The divided service.
+    pub service: ServiceName,
+    /// The node's name.
+    pub node: NodeName,
+    /// The run of its process.
+    pub incarnation: Incarnation,
+    /// The table service.
+    pub table: T,
+    /// The upstream beside the node.
+    pub grantee: G,
+    /// The clock.
+    pub clock: C,
+    /// The other nodes.
+    pub members: Members,
+    /// The range maps that this node has.
+    pub maps: RangeMaps,
+    /// Notified of what other nodes should hear at once.
+    pub announce: Arc<Event>,
+}
+
 /// A node's part in owning ranges of one service. Clones share it.
 pub struct Keeper<T, G, C> {
     inner: Arc<Inner<T, G, C>>,
@@ -116,19 +140,19 @@
 
 impl<T: Table, G: Grantee, C: Clock + BootClock> Keeper<T, G, C> {
     /// A keeper that does nothing until [`Keeper::run`].
-    #[allow(clippy::too_many_arguments)]
-    pub fn new(
-        settings: KeeperSettings,
-        service: ServiceName,
-        node: NodeName,
-        incarnation: Incarnation,
-        table: T,
-        grantee: G,
-        clock: C,
-        members: Members,
-        maps: RangeMaps,
-        announce: Arc<Event>,
-    ) -> Self {
+    pub fn new(parts: KeeperParts<T, G, C>) -> Self {
+        let KeeperParts {
+            settings,
+            service,
+            node,
+            incarnation,
+            table,
+            grantee,
+            clock,
+            members,
+            maps,
+            announce,
+        } = parts;
         let now = clock.now();
         let grants = Grants::after_restart(&settings.grants, clock.since_boot());
         Self {
--- a/crates/ranges/src/lib.rs
+++ b/crates/ranges/src/lib.rs
@@ -22,6 +22,6 @@
 pub mod takeover;
 
 pub use grants::{GrantCall, GrantReply, Grantee, ReleaseCall, ReleaseReply};
-pub use keeper::{Keeper, KeeperSettings};
+pub use keeper::{Keeper, KeeperParts, KeeperSettings};
 pub use map::{Assignment, KeyRange, Owner, RangeMap};
 pub use maps::RangeMaps;
--- a/crates/ranges/src/map.rs
+++ b/crates/ranges/src/map.rs
@@ -265,10 +265,12 @@
 struct MapFields {
     epoch: u64,
     owners: Vec<Owner>,
-    /// Last key, index of the owner, fence, what was handed over.
-    ranges: Vec<(Key, Option<u32>, Fence, Option<Arc<str>>)>,
+    ranges: Vec<RangeFields>,
 }
 
+/// Last key, index of the owner, fence, what was handed over.
+type RangeFields = (Key, Option<u32>, Fence, Option<Arc<str>>);
+
 impl From<RangeMap> for MapFields {
     fn from(map: RangeMap) -> Self {
         let mut owners: Vec<Owner> = Vec::new();
--- a/crates/ranges/tests/explorer/world.rs
+++ b/crates/ranges/tests/explorer/world.rs
@@ -5,7 +5,7 @@
 use async_task::Task;
 use event_listener::Event;
 use ibiscove_mesh::{Member, Members, Upstream};
-use ibiscove_ranges::{Keeper, KeeperSettings, RangeMaps};
+use ibiscove_ranges::{Keeper, KeeperParts, KeeperSettings, RangeMaps};
 use ibiscove_sim::{NodeIndex, Sim, SimClock, WORLD};
 use ibiscove_types::{Clock, NodeName, ServiceName};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -92,18 +92,18 @@
         };
         let members = Members::new(HEARTBEAT);
         let maps = RangeMaps::default();
-        let keeper = Keeper::new(
-            self.settings,
-            service(),
-            name(node),
+        let keeper = Keeper::new(KeeperParts {
+            settings: self.settings,
+            service: service(),
+            node: name(node),
             incarnation,
-            self.table.of(node),
-            self.endpoints.endpoint(node),
+            table: self.table.of(node),
+            grantee: self.endpoints.endpoint(node),
             clock,
-            members.clone(),
-            maps.clone(),
-            Arc::new(Event::new()),
-        );
+            members: members.clone(),
+            maps: maps.clone(),
+            announce: Arc::new(Event::new()),
+        });
         let process = Process {
             keeper: keeper.clone(),
             members,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -20,8 +20,7 @@
 use ibiscove_proxy::entry::{EntryParts, Identity};
 use ibiscove_proxy::serving::PeerServer;
 use ibiscove_proxy::{Announcement, Beside, ConfigCell, Entry, Gate, HeaderNames, RouteTable};
-use ibiscove_ranges::keeper::Keeper;
-use ibiscove_ranges::{Grantee, RangeMaps};
+use ibiscove_ranges::{Grantee, Keeper, KeeperParts, RangeMaps};
 use ibiscove_store::Table;
 use ibiscove_types::{BootClock, Clock, Incarnation};
 use ibiscove_wire::messages::Presence;
@@ -279,18 +278,18 @@
         if !is_divided || inner.keeper.get().is_some() {
             return;
         }
-        let keeper = Keeper::new(
-            inner.settings.keeper,
+        let keeper = Keeper::new(KeeperParts {
+            settings: inner.settings.keeper,
             service,
-            Arc::clone(&inner.settings.node),
-            inner.incarnation,
-            inner.table.clone(),
-            inner.grantee.clone(),
-            inner.clock.clone(),
-            inner.members.clone(),
-            inner.maps.clone(),
-            Arc::clone(&inner.pushed),
-        );
+            node: Arc::clone(&inner.settings.node),
+            incarnation: inner.incarnation,
+            table: inner.table.clone(),
+            grantee: inner.grantee.clone(),
+            clock: inner.clock.clone(),
+            members: inner.members.clone(),
+            maps: inner.maps.clone(),
+            announce: Arc::clone(&inner.pushed),
+        });
         if inner.keeper.set(keeper.clone()).is_ok() {
             inner.gate.set_keys(keeper.clone());
             smol::spawn(keeper.run()).detach();
