--- a/tests/all/admin.rs
+++ b/tests/all/admin.rs
@@ -123,15 +123,21 @@
     let mut names = BTreeSet::new();
     for area in [
         "config",
+        "http",
+        "mesh",
         "node",
         "ownership",
-        "platform",
+        "proxy",
+        "ranges",
+        "router",
         "routing",
         "spread",
+        "store",
         "wire",
     ] {
         metric_names(&root.join("crates").join(area).join("src"), &mut names);
     }
+    metric_names(&root.join("platform").join("src"), &mut names);
     assert!(names.contains("ibiscove_refusals_total"), "{names:?}");
     let is_missing = |name: &&String| !METRICS_PAGE.contains(&format!("`{name}`"));
     let missing: Vec<_> = names.iter().filter(is_missing).collect();
