Wait a moment for a connection that was just given back

Cause: the pool judged an idle connection by whether its driver task had already seen the end of the last answer; on another thread it may be a moment late, and a sound connection was dropped. Ruled out: the server of the test (it keeps its connection), the keep-alive time. Now the pool waits up to 5 ms for it to be ready.

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -31,11 +31,6 @@
     pub fn streamed(chunks: VecDeque<Bytes>, rest: Option<(Incoming, G)>) -> Self {
         Self { chunks, rest }
     }
-
-    /// Whether the whole body is in memory.
-    pub fn is_whole(&self) -> bool {
-        self.rest.is_none()
-    }
 }
 
 impl<G: Unpin> HttpBody for Body<G> {
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -100,6 +100,22 @@
     _driver: smol::Task<()>,
 }
 
+/// Time for which a connection that was just given back may still be busy with
+/// the end of its answer, which its driver sees on another thread.
+const READY_TIMEOUT: Duration = Duration::from_millis(5);
+
+impl Connection {
+    /// Whether the connection takes a request within a moment.
+    async fn becomes_ready(&mut self) -> bool {
+        let timeout = async {
+            smol::Timer::after(READY_TIMEOUT).await;
+            false
+        };
+        let ready = async { self.sender.ready().await.is_ok() };
+        ready.or(timeout).await
+    }
+}
+
 /// An answer whose body has not been read, with the connection it came on.
 pub struct Exchange {
     /// The answer's head and body.
@@ -161,7 +177,10 @@
         {
             req.headers_mut().insert(HOST, host);
         }
-        while let Some(connection) = self.take_idle(addr, max_idle) {
+        while let Some(mut connection) = self.take_idle(addr, max_idle) {
+            if !connection.becomes_ready().await {
+                continue;
+            }
             match self.exchange(addr, connection, req).await {
                 Err((SendError::NotSent { .. }, Some(unsent))) => req = unsent,
                 Err((err, _)) => return Err(err),
@@ -182,11 +201,6 @@
         kept.any(|idle| is_fresh(idle, now, max_idle))
     }
 
-    /// Closes idle connections to an address, for one that is gone or reset.
-    pub fn forget(&self, addr: SocketAddr) {
-        self.lock().remove(&addr);
-    }
-
     /// Closes connections that have been idle for too long.
     pub fn prune(&self) {
         let now = Instant::now();
@@ -275,7 +289,7 @@
 
 fn is_fresh(idle: &Idle, now: Instant, max_idle: Duration) -> bool {
     let age = now.saturating_duration_since(idle.since);
-    age < max_idle && now < idle.until && idle.connection.sender.is_ready()
+    age < max_idle && now < idle.until && !idle.connection.sender.is_closed()
 }
 
 /// Share of the server's stated keep-alive time for which a connection is used.
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub mod body;
 pub mod client;
+pub mod headers;
 pub mod server;
 pub mod socket;
 
--- a/crates/node/src/headers.rs
+++ b/crates/node/src/headers.rs
@@ -1,5 +1,6 @@
 //! Headers that nodes add, and those that never pass from hop to hop.
 
+use ibiscove_http::headers::HOP_BY_HOP;
 use trillium_http::{HeaderName, Headers};
 
 /// Prefix of every header of ours. From outside none of them counts as inner.
@@ -34,24 +35,8 @@
 /// The forwarding node and its proof that it holds the cluster's key.
 pub(crate) const PEER: &str = "Ibiscove-Peer";
 
-/// Headers that belong to one connection (RFC 9110, section 7.6.1), and those
-/// that the HTTP library writes itself.
-const HOP_BY_HOP: &[&str] = &[
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "expect",
-    "host",
-    "content-length",
-    "server",
-    "date",
-];
+/// Headers that the HTTP library writes itself.
+const WRITTEN_BY_LIBRARY: &[&str] = &["host", "server", "date"];
 
 /// Copies what a hop passes on.
 pub(crate) fn pass_on(from: &Headers, to: &mut Headers) {
@@ -70,7 +55,8 @@
     let is_ours = name
         .get(..PREFIX.len())
         .is_some_and(|p| p.eq_ignore_ascii_case(PREFIX));
-    !is_ours && !HOP_BY_HOP.iter().any(|hop| hop.eq_ignore_ascii_case(name))
+    let mut dropped = HOP_BY_HOP.iter().chain(WRITTEN_BY_LIBRARY);
+    !is_ours && !dropped.any(|header| header.eq_ignore_ascii_case(name))
 }
 
 /// A header as text; none when it is absent or not text.
--- a/crates/proxy/src/headers.rs
+++ b/crates/proxy/src/headers.rs
@@ -2,6 +2,7 @@
 
 use hyper::HeaderMap;
 use hyper::header::{CONNECTION, HeaderName, HeaderValue};
+use ibiscove_http::headers::HOP_BY_HOP;
 
 /// What became of the request: `ran`, `not-run` or `unknown`.
 pub const OUTCOME: HeaderName = HeaderName::from_static("ibiscove-outcome");
@@ -50,22 +51,6 @@
     }
 }
 
-/// Headers that belong to one connection (RFC 9110, section 7.6.1), and those
-/// that the HTTP library writes itself.
-const HOP_BY_HOP: &[&str] = &[
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "expect",
-    "content-length",
-];
-
 /// Removes the headers that belong to the connection they came on.
 pub fn remove_hop_by_hop(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
--- a/crates/ranges/src/grants.rs
+++ b/crates/ranges/src/grants.rs
@@ -198,11 +198,6 @@
         })
     }
 
-    /// Whether any range is granted or about to be.
-    pub fn is_empty(&self) -> bool {
-        self.granted.is_empty()
-    }
-
     /// The next grant to send, given when the lease ends; those that were never
     /// granted come first, then those that run out first.
     pub fn next_due(
--- a/crates/ranges/src/keeper.rs
+++ b/crates/ranges/src/keeper.rs
@@ -196,11 +196,6 @@
         zip(lease, ranges).await;
     }
 
-    /// The service whose keys are divided.
-    pub fn service(&self) -> &ServiceName {
-        &self.inner.service
-    }
-
     /// The upstream beside the node announced itself.
     pub fn announce(&self, life: &UpstreamLife, is_draining: bool) {
         let mut state = self.state();
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -86,7 +86,7 @@
     let command = args.subcommand()?;
     match command.as_deref() {
         Some("node") => command_with(node::HELP, node::run, args),
-        Some("serve") => command_with(serve::HELP, serve::run, args),
+        Some("serve") => command_with(&serve::HELP, serve::run, args),
         Some("demo") => command_with(demo::HELP, demo::run, args),
         Some("check") => command_with(check::HELP, check::run, args),
         Some("import") => command_with(import::HELP, import::run, args),
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -6,10 +6,13 @@
 use crate::settings::Settings;
 use async_signal::{Signal, Signals};
 use ibiscove_platform::node;
-use ibiscove_platform::settings::Settings as PlatformSettings;
+use ibiscove_platform::settings::{PATH_VARIABLE, Settings as PlatformSettings};
 use smol::stream::StreamExt;
+use std::sync::LazyLock;
 
-pub(crate) const HELP: &str = "\
+pub(crate) static HELP: LazyLock<String> = LazyLock::new(|| {
+    format!(
+        "\
 Runs a node on the platform, until SIGTERM or SIGINT; SIGHUP reads the settings
 file again. Log lines go to standard output.
 
@@ -17,8 +20,10 @@
 
   --log-level LEVEL         off, error, warn, info, debug or trace [info]
 
-The settings file is named by IBISCOVE_BOOT; docs/platform.md lists its fields.
-";
+The settings file is named by {PATH_VARIABLE}; docs/platform.md lists its fields.
+"
+    )
+});
 
 pub(crate) fn run(mut settings: Settings) -> Result<(), CliError> {
     let level = settings.value(
