--- a/crates/ranges/src/keeper.rs
+++ b/crates/ranges/src/keeper.rs
@@ -93,20 +93,10 @@
 }
 
 struct Inner<T, G, C> {
-    settings: KeeperSettings,
-    service: ServiceName,
-    node: NodeName,
-    incarnation: Incarnation,
-    table: T,
-    grantee: G,
-    clock: C,
-    members: Members,
-    maps: RangeMaps,
+    parts: KeeperParts<T, G, C>,
     state: Mutex<State>,
     /// Something that the tasks act on has changed.
     wake: Event,
-    /// Tells the other nodes about a newer map or lease at once.
-    announce: Arc<Event>,
     /// Held across a change of the map, so that there is one at a time.
     changing: smol::lock::Mutex<()>,
     /// Releases that wait for their answers; each takes a connection of the
@@ -141,31 +131,11 @@
 impl<T: Table, G: Grantee, C: Clock + BootClock> Keeper<T, G, C> {
     /// A keeper that does nothing until [`Keeper::run`].
     pub fn new(parts: KeeperParts<T, G, C>) -> Self {
-        let KeeperParts {
-            settings,
-            service,
-            node,
-            incarnation,
-            table,
-            grantee,
-            clock,
-            members,
-            maps,
-            announce,
-        } = parts;
-        let now = clock.now();
-        let grants = Grants::after_restart(&settings.grants, clock.since_boot());
+        let now = parts.clock.now();
+        let grants = Grants::after_restart(&parts.settings.grants, parts.clock.since_boot());
         Self {
             inner: Arc::new(Inner {
-                settings,
-                service,
-                node,
-                incarnation,
-                table,
-                grantee,
-                clock,
-                members,
-                maps,
+                parts,
                 state: Mutex::new(State {
                     life: None,
                     granted_to: None,
@@ -181,7 +151,6 @@
                     joined: None,
                 }),
                 wake: Event::new(),
-                announce,
                 changing: smol::lock::Mutex::new(()),
                 releases: smol::lock::Semaphore::new(MAX_RELEASES),
                 batch: smol::lock::Mutex::new(()),
@@ -213,7 +182,7 @@
                 state.grants = Grants::default();
             }
             state.granted_to = Some(life.clone());
-            state.joined = Some(self.inner.clock.now());
+            state.joined = Some(self.inner.parts.clock.now());
             state.lease.lost();
         }
         state.life = Some(life.clone());
@@ -245,7 +214,7 @@
 
     /// Whether a request for a key may be sent to the upstream now.
     pub fn serving(&self, key: Key) -> Serving {
-        let now = self.inner.clock.since_boot();
+        let now = self.inner.parts.clock.since_boot();
         let state = self.state();
         if state.grants.serves(key, now) {
             return Serving::Yes;
@@ -264,7 +233,7 @@
 
     /// A request for a key kept the upstream busy for `took`.
     pub fn note_work(&self, key: Key, took: Duration) {
-        let now = self.inner.clock.now();
+        let now = self.inner.parts.clock.now();
         self.state().load.note(key, took, now);
     }
 
@@ -281,7 +250,7 @@
     /// A heartbeat told the version of a node's lease row.
     pub fn note_lease(&self, member: &Member) {
         if member.lease_version > 0 {
-            let now = self.inner.clock.since_boot();
+            let now = self.inner.parts.clock.since_boot();
             self.state()
                 .watch
                 .note(&member.name, member.lease_version, now);
@@ -290,7 +259,7 @@
 
     /// Version of this node's lease row; 0 while it holds no lease.
     pub fn lease_version(&self) -> RowVersion {
-        let now = self.inner.clock.since_boot();
+        let now = self.inner.parts.clock.since_boot();
         let state = self.state();
         match self.lease_end(&state).is_some_and(|end| now < end) {
             true => state.lease.version.unwrap_or(0),
@@ -301,22 +270,28 @@
     /// Whether this node owns any range.
     pub fn owns_any(&self) -> bool {
         let known = self.map();
-        known.is_some_and(|known| known.map.owned_by_node(&self.inner.node).next().is_some())
+        known.is_some_and(|known| {
+            known
+                .map
+                .owned_by_node(&self.inner.parts.node)
+                .next()
+                .is_some()
+        })
     }
 
     fn lease_end(&self, state: &State) -> Option<SinceBoot> {
-        state.lease.end(&self.inner.settings.lease)
+        state.lease.end(&self.inner.parts.settings.lease)
     }
 
     fn owner(&self, state: &State) -> Option<Owner> {
         state.life.clone().map(|life| Owner {
-            node: NodeName::clone(&self.inner.node),
+            node: NodeName::clone(&self.inner.parts.node),
             life,
         })
     }
 
     fn map(&self) -> Option<VersionedMap> {
-        self.inner.maps.get(&self.inner.service)
+        self.inner.parts.maps.get(&self.inner.parts.service)
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -330,11 +305,12 @@
 
     /// Members that may own ranges now, without this node.
     fn candidates(&self) -> Vec<Member> {
-        let now = self.inner.clock.now();
+        let now = self.inner.parts.clock.now();
         let mut candidates = Vec::new();
         self.inner
+            .parts
             .members
-            .each_of(&self.inner.service, now, |member| {
+            .each_of(&self.inner.parts.service, now, |member| {
                 let is_ready = member.upstream.as_ref().is_some_and(|up| !up.draining);
                 if is_ready && member.lease_version > 0 {
                     candidates.push(member.clone());
@@ -345,24 +321,28 @@
 
     async fn pause(&self) {
         let pause = RETRY_PAUSE.mul_f64(0.5 + fastrand::f64() / 2.0);
-        self.inner.clock.sleep(pause).await;
+        self.inner.parts.clock.sleep(pause).await;
     }
 
     /// Reads all rows of the service.
     async fn read_rows(&self) -> Result<Snapshot, TableError> {
         let rows = self
             .inner
+            .parts
             .table
-            .scan(&rows::prefix(&self.inner.service))
+            .scan(&rows::prefix(&self.inner.parts.service))
             .await?;
-        let snapshot = match Snapshot::read(&self.inner.service, &rows) {
+        let snapshot = match Snapshot::read(&self.inner.parts.service, &rows) {
             Ok(snapshot) => snapshot,
             Err(err) => {
-                log::error!("the rows of {} cannot be used: {err}", self.inner.service);
+                log::error!(
+                    "the rows of {} cannot be used: {err}",
+                    self.inner.parts.service
+                );
                 return Err(TableError::Unavailable(err.to_string()));
             }
         };
-        let now = self.inner.clock.since_boot();
+        let now = self.inner.parts.clock.since_boot();
         let mut state = self.state();
         for (node, version) in &snapshot.leases {
             state.watch.note(node, *version, now);
@@ -378,10 +358,11 @@
         let epoch = map.epoch();
         if self
             .inner
+            .parts
             .maps
-            .take(&self.inner.service, version, Arc::new(map))
+            .take(&self.inner.parts.service, version, Arc::new(map))
         {
-            log::info!(service = &*self.inner.service, version, epoch; "range map taken");
+            log::info!(service = &*self.inner.parts.service, version, epoch; "range map taken");
             self.inner.wake.notify(usize::MAX);
         }
     }
@@ -409,7 +390,7 @@
             };
             let next = map.with(&transfers);
             let mut txn = also();
-            let key = rows::map_key(&self.inner.service);
+            let key = rows::map_key(&self.inner.parts.service);
             let body = serde_json::to_vec(&next)
                 .map_err(|err| TableError::Unavailable(format!("map not written: {err}")))?;
             // The map comes first, so that its version is the first returned.
@@ -427,15 +408,15 @@
                     body: Some(body),
                 },
             );
-            match self.inner.table.commit(txn).await {
+            match self.inner.parts.table.commit(txn).await {
                 Ok(Commit::Done(versions)) => {
                     for transfer in &transfers {
-                        log_transfer(&self.inner.service, transfer, next.epoch());
+                        log_transfer(&self.inner.parts.service, transfer, next.epoch());
                     }
                     metrics::counter!("ibiscove_range_transfers_total")
                         .increment(transfers.len() as u64);
                     self.take_map(versions.first().copied().unwrap_or_default(), next);
-                    self.inner.announce.notify(usize::MAX);
+                    self.inner.parts.announce.notify(usize::MAX);
                     return Ok(true);
                 }
                 Ok(Commit::Conflict(key)) => {
--- a/crates/ranges/src/keeper/coordinate.rs
+++ b/crates/ranges/src/keeper/coordinate.rs
@@ -22,7 +22,7 @@
 impl<T: Table, G: Grantee, C: Clock + BootClock> Keeper<T, G, C> {
     pub(super) async fn coordinate(&self) {
         loop {
-            self.inner.clock.sleep(LOOK_INTERVAL).await;
+            self.inner.parts.clock.sleep(LOOK_INTERVAL).await;
             if !self.is_coordinator() {
                 continue;
             }
@@ -35,19 +35,24 @@
 
     fn is_coordinator(&self) -> bool {
         let state = self.state();
-        let now = self.inner.clock.since_boot();
+        let now = self.inner.parts.clock.since_boot();
         let has_lease = self.lease_end(&state).is_some_and(|end| now < end);
         if state.is_leaving || state.life.is_none() || !has_lease {
             return false;
         }
         let has_gathered = state.joined.is_some_and(|joined| {
-            self.inner.clock.now().saturating_duration_since(joined) >= GATHER
+            self.inner
+                .parts
+                .clock
+                .now()
+                .saturating_duration_since(joined)
+                >= GATHER
         });
         drop(state);
         let is_first = self
             .candidates()
             .iter()
-            .all(|other| self.inner.node < other.name);
+            .all(|other| self.inner.parts.node < other.name);
         is_first && (has_gathered || self.map().is_some())
     }
 
@@ -64,13 +69,13 @@
         let mut ended = Vec::new();
         if !silent.is_empty() {
             let snapshot = self.read_rows().await?;
-            let now = self.inner.clock.since_boot();
+            let now = self.inner.parts.clock.since_boot();
             let state = self.state();
             for node in silent {
                 match snapshot.lease_of(&node) {
                     None => ended.push((node, None)),
                     Some(version) => {
-                        let settings = &self.inner.settings.lease;
+                        let settings = &self.inner.parts.settings.lease;
                         if state.watch.has_ended(&node, version, settings, now) {
                             ended.push((node, Some(version)));
                         }
@@ -84,11 +89,11 @@
             return Ok(());
         }
         for (node, version) in &ended {
-            log::warn!(node = &**node, service = &*self.inner.service, version:? = version;
+            log::warn!(node = &**node, service = &*self.inner.parts.service, version:? = version;
                 "takes over the ranges of a lost node");
         }
         let owners = self.eligible();
-        let also = || end_leases(&self.inner.service, &ended);
+        let also = || end_leases(&self.inner.parts.service, &ended);
         let nodes: BTreeSet<&NodeName> = ended.iter().map(|(node, _)| node).collect();
         self.change_map(also, |map| plan(map, &nodes, &owners))
             .await?;
@@ -98,13 +103,13 @@
     /// Nodes that own ranges and have not been heard of lately, or run without
     /// their upstream and say so by holding no lease.
     fn silent_owners(&self, map: &RangeMap) -> Vec<NodeName> {
-        let now = self.inner.clock.now();
+        let now = self.inner.parts.clock.now();
         let owners = map.assignments().iter().filter_map(|a| a.owner.as_ref());
         let nodes: BTreeSet<&NodeName> = owners.map(|owner| &owner.node).collect();
         let is_silent = |node: &&&NodeName| {
-            let member = self.inner.members.get(node);
-            **node != &self.inner.node
-                && !member.is_some_and(|member| self.inner.members.is_alive(&member, now))
+            let member = self.inner.parts.members.get(node);
+            **node != &self.inner.parts.node
+                && !member.is_some_and(|member| self.inner.parts.members.is_alive(&member, now))
         };
         nodes
             .iter()
--- a/crates/ranges/src/keeper/granting.rs
+++ b/crates/ranges/src/keeper/granting.rs
@@ -14,9 +14,9 @@
     pub(super) async fn keep_grants(&self) {
         loop {
             let woken = self.inner.wake.listen();
-            let changed = self.inner.maps.changed();
+            let changed = self.inner.parts.maps.changed();
             self.send_due().await;
-            let look = self.inner.clock.sleep(LOOK_INTERVAL);
+            let look = self.inner.parts.clock.sleep(LOOK_INTERVAL);
             look.or(woken).or(changed).await;
         }
     }
@@ -41,12 +41,12 @@
     }
 
     fn next_grant(&self) -> Option<(GrantCall, SinceBoot)> {
-        let now = self.inner.clock.since_boot();
+        let now = self.inner.parts.clock.since_boot();
         let mut state = self.state();
         let owner = self.owner(&state)?;
         state.grants.follow(self.map()?.map.owned_by(&owner));
         let lease_end = self.lease_end(&state)?;
-        let settings = &self.inner.settings.grants;
+        let settings = &self.inner.parts.settings.grants;
         let call = state
             .grants
             .next_due(settings, &owner.life, lease_end, now)?;
@@ -56,17 +56,24 @@
     async fn grant(&self, call: &GrantCall, sent: SinceBoot) -> GrantReply {
         let timeout = async {
             self.inner
+                .parts
                 .clock
-                .sleep(self.inner.settings.grants.call_timeout)
+                .sleep(self.inner.parts.settings.grants.call_timeout)
                 .await;
             GrantReply::Unanswered
         };
-        let reply = self.inner.grantee.grant(call.clone()).or(timeout).await;
+        let reply = self
+            .inner
+            .parts
+            .grantee
+            .grant(call.clone())
+            .or(timeout)
+            .await;
         self.state().grants.answered(call, reply, sent);
         if reply != GrantReply::Granted {
             metrics::counter!("ibiscove_grant_failures_total").increment(1);
             log::warn!(
-                service = &*self.inner.service, first = call.range.first,
+                service = &*self.inner.parts.service, first = call.range.first,
                 last = call.range.last, fence = call.fence, reply:? = reply;
                 "a grant failed"
             );
--- a/crates/ranges/src/keeper/leasing.rs
+++ b/crates/ranges/src/keeper/leasing.rs
@@ -11,12 +11,12 @@
     pub(super) async fn keep_lease(&self) {
         loop {
             let woken = self.inner.wake.listen();
-            let now = self.inner.clock.since_boot();
+            let now = self.inner.parts.clock.since_boot();
             let (life, lease) = {
                 let state = self.state();
                 (state.life.clone(), state.lease)
             };
-            let settings = &self.inner.settings.lease;
+            let settings = &self.inner.parts.settings.lease;
             match life {
                 Some(life) if lease.is_due(settings, now) => {
                     if let Err(err) = self.renew(&life, lease.version).await {
@@ -26,7 +26,7 @@
                     }
                 }
                 _ => {
-                    let look = self.inner.clock.sleep(RETRY_PAUSE);
+                    let look = self.inner.parts.clock.sleep(RETRY_PAUSE);
                     look.or(woken).await;
                 }
             }
@@ -44,20 +44,20 @@
         // has taken ranges since the map was read.
         let version = match version {
             Some(version) => Some(version),
-            None => self.read_rows().await?.lease_of(&self.inner.node),
+            None => self.read_rows().await?.lease_of(&self.inner.parts.node),
         };
-        let sent = self.inner.clock.since_boot();
-        let key = rows::lease_key(&self.inner.service, &self.inner.node);
+        let sent = self.inner.parts.clock.since_boot();
+        let key = rows::lease_key(&self.inner.parts.service, &self.inner.parts.node);
         let row = LeaseRow {
-            node: NodeName::clone(&self.inner.node),
-            incarnation: self.inner.incarnation,
+            node: NodeName::clone(&self.inner.parts.node),
+            incarnation: self.inner.parts.incarnation,
             life: life.clone(),
         };
         let body = serde_json::to_vec(&row)
             .map_err(|err| TableError::Unavailable(format!("lease not written: {err}")))?;
         let mut txn = Transaction::default();
         txn.replace(&key, version, body);
-        match self.inner.table.commit(txn).await {
+        match self.inner.parts.table.commit(txn).await {
             Ok(Commit::Done(versions)) => {
                 let version = versions.first().copied().unwrap_or_default();
                 self.renewed(life, version, sent);
@@ -81,25 +81,25 @@
         if state.life.as_ref() != Some(life) {
             return;
         }
-        let is_new = state.lease.end(&self.inner.settings.lease).is_none();
+        let is_new = state.lease.end(&self.inner.parts.settings.lease).is_none();
         state.lease.renewed(version, sent);
         drop(state);
         if is_new {
-            log::info!(service = &*self.inner.service, version; "lease held");
+            log::info!(service = &*self.inner.parts.service, version; "lease held");
             self.inner.wake.notify(usize::MAX);
-            self.inner.announce.notify(usize::MAX);
+            self.inner.parts.announce.notify(usize::MAX);
         }
     }
 
     /// Reads the row whose renewal failed or was not answered. A row that is
     /// still there is this node's: only it writes the row, others remove it.
     async fn look_again(&self, key: &str) {
-        let found = self.inner.table.get(key).await;
+        let found = self.inner.parts.table.get(key).await;
         let mut state = self.state();
         match found {
             Ok(Some(row)) => state.lease.found(row.version),
             Ok(None) => {
-                log::warn!(service = &*self.inner.service; "lease lost: its row was removed");
+                log::warn!(service = &*self.inner.parts.service; "lease lost: its row was removed");
                 state.lease.lost();
                 state.grants = Default::default();
             }
--- a/crates/ranges/src/keeper/moving.rs
+++ b/crates/ranges/src/keeper/moving.rs
@@ -30,7 +30,7 @@
         loop {
             let woken = self.inner.wake.listen();
             self.move_once().await;
-            self.inner.clock.sleep(LOOK_INTERVAL).or(woken).await;
+            self.inner.parts.clock.sleep(LOOK_INTERVAL).or(woken).await;
         }
     }
 
@@ -44,7 +44,7 @@
             return;
         };
         let own = Owner {
-            node: NodeName::clone(&self.inner.node),
+            node: NodeName::clone(&self.inner.parts.node),
             life,
         };
         if !is_leaving && self.adopt(&own).await {
@@ -63,7 +63,7 @@
     /// What goes to members that joined, or away from a busy or slow upstream;
     /// at most one move at a time.
     fn moves_for_balance(&self, map: &RangeMap, own: &Owner) -> Vec<(KeyRange, Owner)> {
-        let now = self.inner.clock.now();
+        let now = self.inner.parts.clock.now();
         let balanced = self.state().balanced;
         let since = balanced.map_or(Duration::MAX, |at| now.saturating_duration_since(at));
         if since < SETTLE {
@@ -86,7 +86,7 @@
     async fn adopt(&self, own: &Owner) -> bool {
         let is_held = {
             let state = self.state();
-            let now = self.inner.clock.since_boot();
+            let now = self.inner.parts.clock.since_boot();
             self.lease_end(&state).is_some_and(|end| now < end)
         };
         let Some(known) = self.map().filter(|_| is_held) else {
@@ -121,7 +121,7 @@
             return;
         };
         let owned = |map: &RangeMap| -> Vec<KeyRange> {
-            map.owned_by_node(&self.inner.node)
+            map.owned_by_node(&self.inner.parts.node)
                 .map(|a| a.range)
                 .collect()
         };
@@ -151,9 +151,13 @@
     }
 
     async fn sleep_until_run_out(&self) {
-        let now = self.inner.clock.since_boot();
+        let now = self.inner.parts.clock.since_boot();
         let runs_out = self.state().grants.runs_out();
-        self.inner.clock.sleep(runs_out.saturating_sub(now)).await;
+        self.inner
+            .parts
+            .clock
+            .sleep(runs_out.saturating_sub(now))
+            .await;
     }
 
     fn all_moves(&self, map: &RangeMap, own: &Owner) -> Vec<(KeyRange, Owner)> {
@@ -170,7 +174,7 @@
         members: &[Member],
     ) -> Option<(KeyRange, Owner)> {
         let others: Vec<Candidate> = members.iter().filter_map(candidate).collect();
-        let now = self.inner.clock.now();
+        let now = self.inner.parts.clock.now();
         let mut state = self.state();
         state.load.roll(now);
         let own = Candidate {
@@ -201,12 +205,16 @@
         for call in calls {
             let range = call.range;
             while self.state().grants.awaits_answer(range) {
-                self.inner.clock.sleep(ANSWER_INTERVAL).await;
+                self.inner.parts.clock.sleep(ANSWER_INTERVAL).await;
             }
             let reply = self.release(call).await;
             let free_from = self.state().grants.free_from(range, &reply);
-            let now = self.inner.clock.since_boot();
-            self.inner.clock.sleep(free_from.saturating_sub(now)).await;
+            let now = self.inner.parts.clock.since_boot();
+            self.inner
+                .parts
+                .clock
+                .sleep(free_from.saturating_sub(now))
+                .await;
             let handover = match reply {
                 ReleaseReply::Released { handover } => handover,
                 ReleaseReply::Ended | ReleaseReply::Unanswered => None,
@@ -225,24 +233,24 @@
     /// repeated, so one that fails is tried again until the time is up.
     async fn release(&self, call: ReleaseCall) -> ReleaseReply {
         let _few_at_a_time = self.inner.releases.acquire().await;
-        let limit = self.inner.settings.grants.release_timeout;
+        let limit = self.inner.parts.settings.grants.release_timeout;
         let timeout = async {
-            self.inner.clock.sleep(limit).await;
+            self.inner.parts.clock.sleep(limit).await;
             ReleaseReply::Unanswered
         };
         let trying = async {
             loop {
-                let reply = self.inner.grantee.release(call.clone()).await;
+                let reply = self.inner.parts.grantee.release(call.clone()).await;
                 if reply != ReleaseReply::Unanswered {
                     return reply;
                 }
-                self.inner.clock.sleep(RELEASE_RETRY).await;
+                self.inner.parts.clock.sleep(RELEASE_RETRY).await;
             }
         };
         let reply = trying.or(timeout).await;
         if reply == ReleaseReply::Unanswered {
             metrics::counter!("ibiscove_release_failures_total").increment(1);
-            log::warn!(service = &*self.inner.service, first = call.range.first,
+            log::warn!(service = &*self.inner.parts.service, first = call.range.first,
                 last = call.range.last, fence = call.fence; "a release was not answered");
         }
         reply
@@ -260,7 +268,7 @@
             let owner = &map.locate(transfer.range.first).owner;
             owner
                 .as_ref()
-                .is_some_and(|owner| owner.node == self.inner.node)
+                .is_some_and(|owner| owner.node == self.inner.parts.node)
         };
         let plan = |map: &RangeMap| {
             let left: Vec<_> = transfers
