--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -1,29 +1,28 @@
 //! Takes callers' requests and sees each to its answer.
 
+mod attempt;
+mod learnt;
+mod plan;
+
 use crate::beside::Beside;
-use crate::forward::Work;
-use crate::gate::{Call, Gate, KeyOwner, Permit};
-use crate::headers::{self, GATE_LOAD, HeaderNames, OUTCOME};
+use crate::gate::{Gate, KeyOwner, Permit};
+use crate::headers::{self, HeaderNames};
 use crate::refusal::Refusal;
-use crate::relay::{Reply, read_answer};
-use crate::routes::{ConfigCell, Route};
-use crate::targets::{Choices, Distances, InFlight, Target, Targets};
+use crate::relay::Reply;
+use crate::routes::ConfigCell;
+use crate::targets::{Distances, Targets};
+use hyper::Request;
 use hyper::body::Incoming;
-use hyper::header::HOST;
-use hyper::http::uri::PathAndQuery;
-use hyper::{HeaderMap, Request};
+use ibiscove_http::Pool;
 use ibiscove_http::body::{ReadError, read_whole};
-use ibiscove_http::{Pool, SendError};
 use ibiscove_mesh::Members;
 use ibiscove_ranges::RangeMaps;
-use ibiscove_routing::patience::Patience;
-use ibiscove_routing::placement::{Candidate, Distance};
-use ibiscove_routing::retry::{self, Failure, Next, RetryBudget};
-use ibiscove_types::{Clock, DataCentre, Key, NodeName, Outcome, Reason, ServiceName};
+use ibiscove_routing::retry::{self, Failure, Next};
+use ibiscove_types::{Clock, DataCentre, NodeName, Outcome, Reason, ServiceName};
+use learnt::{Budgets, Callers};
+use plan::Plan;
 use smol::future::FutureExt;
-use std::collections::HashMap;
-use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// The label of this role in metrics.
@@ -114,18 +113,8 @@
 struct Inner<K, C> {
     parts: EntryParts<K, C>,
     targets: Targets,
-    budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
-    /// How long callers of each route are willing to wait.
-    patience: Mutex<HashMap<Arc<str>, Patience>>,
-}
-
-/// One request at its entry.
-struct Plan {
-    route: Arc<Route>,
-    work: Work,
-    call: Call,
-    is_divided: bool,
-    arrived: Instant,
+    budgets: Budgets,
+    callers: Callers,
 }
 
 /// What has been tried for a request.
@@ -146,8 +135,8 @@
             inner: Arc::new(Inner {
                 parts,
                 targets: Targets::default(),
-                budgets: Mutex::default(),
-                patience: Mutex::default(),
+                budgets: Budgets::default(),
+                callers: Callers::default(),
             }),
         }
     }
@@ -155,12 +144,7 @@
     /// Forgets what it knows of nodes that are gone.
     pub fn prune(&self) {
         if let Some(table) = self.parts().config.get() {
-            let mut patience = self
-                .inner
-                .patience
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner);
-            patience.retain(|route, _| table.has_route(route));
+            self.inner.callers.prune(&table);
         }
         self.inner.targets.prune(&self.inner.parts.members);
         self.inner.parts.pool.prune();
@@ -221,89 +205,6 @@
         &self.inner.parts
     }
 
-    /// Finds the route and everything that follows from it.
-    fn plan(
-        &self,
-        head: &hyper::http::request::Parts,
-        arrived: Instant,
-    ) -> Result<(Arc<Route>, Plan), Refusal> {
-        let parts = self.parts();
-        let names = &parts.names;
-        let table = parts.config.get().ok_or(Refusal {
-            retry_after: NO_CONFIGURATION_RETRY,
-            ..Refusal::not_run(Reason::NoConfiguration)
-        })?;
-        let target = head.uri.path_and_query().cloned();
-        let target = target.unwrap_or_else(|| PathAndQuery::from_static("/"));
-        let host = head
-            .uri
-            .host()
-            .or_else(|| headers::text(&head.headers, &HOST));
-        let route = host
-            .and_then(|host| table.find(host, target.path()))
-            .ok_or(Refusal::not_run(Reason::NoRoute))?;
-        let request_id: Arc<str> = match headers::text(&head.headers, &names.request_id) {
-            Some(id) => id.into(),
-            None => format!("{:016x}", fastrand::u64(..)).into(),
-        };
-        let service = route
-            .service(fastrand::u64(..))
-            .ok_or(Refusal::not_run(Reason::NoUpstream))?;
-        let is_divided = table.is_divided(service);
-        let key = key(&head.headers, names, is_divided)?;
-        let wants: Option<u64> =
-            headers::text(&head.headers, &names.deadline_ms).and_then(|text| text.parse().ok());
-        let wants = wants.map_or(parts.settings.default_deadline, Duration::from_millis);
-        let mut passed_on = head.headers.clone();
-        headers::remove_hop_by_hop(&mut passed_on);
-        headers::remove_between_nodes(&mut passed_on);
-        let mut route_headers = passed_on;
-        route_headers.insert(names.request_id.clone(), headers::value(&request_id));
-        let patience = self.patience(route, wants);
-        let work = Work {
-            service: Arc::clone(service),
-            route: Arc::clone(&route.name),
-            request_id,
-            key,
-            idempotent: route.idempotent,
-            priority: match patience.is_nested() {
-                true => 0,
-                false => route.priority,
-            },
-            target_latency: route.target_latency,
-            target: arrived + patience.target_left(route.target_latency, wants),
-            deadline: arrived + wants.min(route.timeout),
-            origin: parts.identity.service.clone(),
-            entry: Arc::clone(&parts.identity.node),
-        };
-        let call = Call {
-            method: head.method.clone(),
-            target,
-            headers: route_headers,
-            body: Default::default(),
-        };
-        let plan = Plan {
-            route: Arc::clone(route),
-            work,
-            call,
-            is_divided,
-            arrived,
-        };
-        Ok((Arc::clone(route), plan))
-    }
-
-    /// What the time that a caller is willing to wait tells of its request.
-    fn patience(&self, route: &Route, wants: Duration) -> Patience {
-        let mut all = self
-            .inner
-            .patience
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        let known = all.entry(Arc::clone(&route.name)).or_default();
-        known.note(wants);
-        *known
-    }
-
     async fn read_body(
         &self,
         body: Incoming,
@@ -328,7 +229,8 @@
     async fn see_through(&self, plan: Plan) -> Result<Reply<Permit<K, C>>, Refusal> {
         let mut tried = Tried::default();
         let mut rng = fastrand::Rng::new();
-        self.earn(&plan.work.service);
+        let share = self.parts().settings.retry_share;
+        self.inner.budgets.earn(&plan.work.service, share);
         loop {
             let refusal = match self.attempt(&plan, &mut tried, &mut rng).await {
                 Ok(reply) => return Ok(reply),
@@ -341,7 +243,9 @@
             let next = self.next(&plan, &refusal, &tried, &mut rng);
             self.log_attempt(&plan, &refusal, &tried, next);
             match next {
-                Next::Again { wait, charged } if !charged || self.pay(&plan.work.service) => {
+                Next::Again { wait, charged }
+                    if !charged || self.inner.budgets.pay(&plan.work.service) =>
+                {
                     count_retry(refusal.reason);
                     self.parts().clock.sleep(wait).await;
                 }
@@ -404,226 +308,10 @@
             ..refusal
         }
     }
-
-    async fn attempt(
-        &self,
-        plan: &Plan,
-        tried: &mut Tried,
-        rng: &mut fastrand::Rng,
-    ) -> Result<Reply<Permit<K, C>>, Refusal> {
-        let now = self.parts().clock.now();
-        let target = match plan.is_divided {
-            true => self.owner(plan, now)?,
-            false => self.choose(plan, tried, rng, now)?,
-        };
-        tried.nodes.push(Arc::clone(&target.node));
-        let in_flight = self.inner.targets.begin(&target.node);
-        let left = plan.work.deadline.saturating_duration_since(now);
-        let timeout = async {
-            self.parts().clock.sleep(left).await;
-            Err(Refusal::unknown(Reason::DeadlineExceeded))
-        };
-        let answered = match target.gate {
-            None => {
-                self.parts()
-                    .gate
-                    .run(&plan.work, &plan.call)
-                    .or(timeout)
-                    .await
-            }
-            Some(gate) => self.forward(plan, &target, gate).or(timeout).await,
-        };
-        learn(in_flight, &answered);
-        answered
-    }
-
-    /// The node that owns the request's key.
-    fn owner(&self, plan: &Plan, now: Instant) -> Result<Target, Refusal> {
-        let parts = self.parts();
-        let key = plan.work.key.ok_or(Refusal::not_run(Reason::NoKey))?;
-        let no_owner = Refusal::not_run(Reason::NoOwner).after(NO_OWNER_RETRY);
-        let known = parts.maps.get(&plan.work.service).ok_or(no_owner)?;
-        let owner = known.map.locate(key).owner.as_ref().ok_or(no_owner)?;
-        if owner.node == parts.identity.node {
-            return Ok(Target {
-                node: Arc::clone(&owner.node),
-                gate: None,
-            });
-        }
-        let member = parts.members.get(&owner.node).ok_or(no_owner)?;
-        if !parts.members.is_alive(&member, now) && !member.leaving {
-            return Err(no_owner);
-        }
-        Ok(Target {
-            node: Arc::clone(&owner.node),
-            gate: Some(member.gate),
-        })
-    }
-
-    /// The best upstream of a shared service.
-    fn choose(
-        &self,
-        plan: &Plan,
-        tried: &mut Tried,
-        rng: &mut fastrand::Rng,
-        now: Instant,
-    ) -> Result<Target, Refusal> {
-        let parts = self.parts();
-        let mut choices = Choices::default();
-        let own = &parts.identity;
-        parts.members.each_of(&plan.work.service, now, |member| {
-            choices.add(
-                member,
-                &own.data_centre,
-                &parts.settings.distances,
-                &tried.nodes,
-            );
-        });
-        if let Some(candidate) = self.own_candidate(&plan.work.service, tried) {
-            choices.add_own(&own.node, candidate);
-        }
-        let target = self.inner.targets.choose(&choices, rng);
-        let target = target.ok_or(Refusal::not_run(Reason::NoUpstream).after(NO_OWNER_RETRY))?;
-        tried.has_others = choices.has_untried();
-        Ok(target)
-    }
-
-    fn own_candidate(&self, service: &ServiceName, tried: &Tried) -> Option<Candidate> {
-        let parts = self.parts();
-        let present = parts.beside.present()?;
-        if present.announced.service != *service || present.draining_since.is_some() {
-            return None;
-        }
-        let load = parts.gate.load();
-        Some(Candidate {
-            distance: Distance::Beside,
-            round_trip: Duration::ZERO,
-            load: f64::from(load.load),
-            slots: f64::from(present.announced.slots),
-            service_time: load.service_time,
-            failure_rate: 0.0,
-            is_cold: !present.announced.cold_left.is_zero(),
-            was_tried: tried.nodes.contains(&parts.identity.node),
-        })
-    }
-
-    /// Sends the request to another node's gate.
-    async fn forward(
-        &self,
-        plan: &Plan,
-        target: &Target,
-        gate: SocketAddr,
-    ) -> Result<Reply<Permit<K, C>>, Refusal> {
-        let parts = self.parts();
-        let mut to = plan.call.headers.clone();
-        if let Err(err) = plan.work.write(&mut to, parts.clock.now()) {
-            log::error!("a request cannot be forwarded: {err}");
-            return Err(Refusal::not_run(Reason::BadHeader));
-        }
-        let max_idle = match plan.work.idempotent {
-            true => parts.settings.max_idle,
-            false => parts.settings.max_idle_once,
-        };
-        let sent = parts.pool.send(gate, plan.call.request(to), max_idle).await;
-        let exchange = sent.map_err(|err| peer_failed(plan, target, &err))?;
-        if let Some((load, service_time)) = read_load(exchange.answer.headers()) {
-            parts.members.take_load(&target.node, load, service_time);
-        }
-        if let Some(refusal) = Refusal::read(&exchange.answer) {
-            // Read to its end the connection serves again.
-            drop(read_answer::<()>(exchange, None).await);
-            return Err(refusal);
-        }
-        let is_from_gate = exchange.answer.headers().contains_key(OUTCOME);
-        if !is_from_gate {
-            return Err(Refusal::unknown(Reason::PeerLost));
-        }
-        let mut reply = read_answer(exchange, None).await.map_err(|err| {
-            log::info!(request = &*plan.work.request_id, peer = &*target.node;
-                "a peer's answer broke off: {err}");
-            Refusal::unknown(Reason::PeerLost)
-        })?;
-        headers::remove_hop_by_hop(reply.headers_mut());
-        reply.headers_mut().remove(OUTCOME);
-        Ok(reply)
-    }
-
-    fn earn(&self, service: &ServiceName) {
-        let share = self.parts().settings.retry_share;
-        let mut budgets = self
-            .inner
-            .budgets
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        match budgets.get_mut(service) {
-            Some(budget) => budget.earn(share),
-            None => {
-                budgets.insert(Arc::clone(service), RetryBudget::default());
-            }
-        }
-    }
-
-    fn pay(&self, service: &ServiceName) -> bool {
-        let mut budgets = self
-            .inner
-            .budgets
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        budgets.entry(Arc::clone(service)).or_default().pay()
-    }
 }
 
 /// Gates that are asked for one request before its caller is refused.
 const MAX_REFUSALS: u32 = 3;
-/// When a caller may return to a node that has no configuration yet.
-const NO_CONFIGURATION_RETRY: Duration = Duration::from_millis(300);
-/// When a caller may return while a key or service has nobody.
-const NO_OWNER_RETRY: Duration = Duration::from_millis(250);
-
-fn key(from: &HeaderMap, names: &HeaderNames, is_divided: bool) -> Result<Option<Key>, Refusal> {
-    if !is_divided {
-        return Ok(None);
-    }
-    let text = headers::text(from, &names.key).ok_or(Refusal::not_run(Reason::NoKey))?;
-    let key = text
-        .parse()
-        .map_err(|_| Refusal::not_run(Reason::BadHeader))?;
-    Ok(Some(key))
-}
-
-/// Learns of a node by what came of an attempt there. Refusals for want of
-/// room or ownership teach nothing: the node said so itself.
-fn learn<P>(in_flight: InFlight, answered: &Result<Reply<P>, Refusal>) {
-    match answered {
-        Ok(reply) => in_flight.end(reply.status().is_server_error()),
-        Err(refusal) => match refusal.reason {
-            Reason::PeerUnreachable
-            | Reason::PeerLost
-            | Reason::UpstreamUnreachable
-            | Reason::UpstreamLost
-            | Reason::UpstreamRefused
-            | Reason::NoUpstream => in_flight.end(true),
-            _ => {}
-        },
-    }
-}
-
-fn peer_failed(plan: &Plan, target: &Target, err: &SendError) -> Refusal {
-    log::info!(request = &*plan.work.request_id, peer = &*target.node,
-        since_ms = plan.arrived.elapsed().as_millis() as u64; "no answer from a peer: {err}");
-    match err.is_unsent() {
-        true => Refusal::not_run(Reason::PeerUnreachable),
-        false => Refusal::unknown(Reason::PeerLost),
-    }
-}
-
-fn read_load(from: &HeaderMap) -> Option<(u32, Duration)> {
-    let (load, micros) = headers::text(from, &GATE_LOAD)?.split_once(',')?;
-    Some((
-        load.parse().ok()?,
-        Duration::from_micros(micros.parse().ok()?),
-    ))
-}
 
 fn count_retry(reason: Reason) {
     metrics::counter!("ibiscove_retries_total", "reason" => reason.as_str()).increment(1);
--- /dev/null
+++ b/crates/proxy/src/entry/learnt.rs
@@ -0,0 +1,58 @@
+//! What an entry learns from the requests that it sees.
+
+use crate::routes::RouteTable;
+use ibiscove_routing::patience::Patience;
+use ibiscove_routing::retry::RetryBudget;
+use ibiscove_types::ServiceName;
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// Retries that each service's requests have earned.
+#[derive(Default)]
+pub(super) struct Budgets(Mutex<HashMap<ServiceName, RetryBudget>>);
+
+impl Budgets {
+    /// Counts a request, which earns `share` of a retry.
+    pub(super) fn earn(&self, service: &ServiceName, share: f64) {
+        let mut budgets = lock(&self.0);
+        match budgets.get_mut(service) {
+            Some(budget) => budget.earn(share),
+            None => {
+                budgets.insert(Arc::clone(service), RetryBudget::default());
+            }
+        }
+    }
+
+    /// Pays for one retry; false when there is not enough.
+    pub(super) fn pay(&self, service: &ServiceName) -> bool {
+        let mut budgets = lock(&self.0);
+        budgets.entry(Arc::clone(service)).or_default().pay()
+    }
+}
+
+/// How long the callers of each route are willing to wait.
+#[derive(Default)]
+pub(super) struct Callers(Mutex<HashMap<Arc<str>, Patience>>);
+
+impl Callers {
+    /// A caller of a route waits for `wants`. Gives what that tells of its
+    /// request.
+    pub(super) fn note(&self, route: &Arc<str>, wants: Duration) -> Patience {
+        let mut all = lock(&self.0);
+        let known = all.entry(Arc::clone(route)).or_default();
+        known.note(wants);
+        *known
+    }
+
+    /// Forgets routes that the configuration no longer has.
+    pub(super) fn prune(&self, table: &RouteTable) {
+        lock(&self.0).retain(|route, _| table.has_route(route));
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    // Each lock is held for one look-up or change, which leaves the state whole
+    // even when it panics.
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
