--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod ownership;
 mod processes;
 mod requests;
+mod soak;
 mod starting;
 mod stopping;
 mod streams;
