Under lasting overload keep what is admitted within its target

Ruled out: processor time (0.04 of a core a node), store rows (small).

- Whether a target is met is judged with two mean deviations of margin; one that waited too long gives way; the late wait only where fresh ones are not crowded out.
- Of the three gates asked, only the last lets a request wait until it is late.
- The wait for a key's owner ends with the route's target latency.
- An upstream that stops answering gets one request at a time.

--- a/crates/explain/src/events.rs
+++ b/crates/explain/src/events.rs
@@ -55,6 +55,7 @@
     ("upstream announced itself", Subject::Upstream),
     ("upstream leaves", Subject::Upstream),
     ("upstream is gone", Subject::Upstream),
+    ("whether the upstream answers", Subject::Upstream),
     ("the operator's rows", Subject::Table),
     ("the store ", Subject::Table),
     ("cannot join yet", Subject::Table),
--- a/crates/mesh/src/members.rs
+++ b/crates/mesh/src/members.rs
@@ -151,6 +151,11 @@
         self.lock().get(name).cloned()
     }
 
+    /// How many members there are, alive or not.
+    pub fn count(&self) -> usize {
+        self.lock().len()
+    }
+
     /// Every member, silent ones included.
     pub fn all(&self) -> Vec<Member> {
         self.lock().values().cloned().collect()
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -17,6 +17,7 @@
 use ibiscove_store::{Objects, Table};
 use ibiscove_types::{Clock, Incarnation, Outcome, Reason, RequestId, ServiceKind};
 use std::sync::Arc;
+use std::time::Duration;
 use std::time::Instant;
 use trillium::{Conn, Handler};
 
@@ -161,6 +162,9 @@
         attempts,
         remaining: deadline::remaining(plan.deadline, process.clock.now()),
         has_others: false,
+        waited: Duration::ZERO,
+        // The deadline alone bounds the wait: rules state no target.
+        owner_wait: Duration::MAX,
     };
     Some(retry::next(failure, rng)).filter(|next| *next != Next::Stop)
 }
--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -34,6 +34,9 @@
     /// Retries earned with each request. Half of what a deployment commonly
     /// allows, since upstreams' own calls are retried too.
     pub retry_share: f64,
+    /// Retries that all nodes together may save up. Below the slack that small
+    /// deployments allow beside the share.
+    pub retries_saved: f64,
     /// Time that callers without a deadline wait.
     pub default_deadline: Duration,
     /// Shortest time after which a refused caller is told to return.
@@ -52,6 +55,7 @@
     fn default() -> Self {
         Self {
             retry_share: 0.1,
+            retries_saved: 50.0,
             default_deadline: Duration::from_secs(10),
             min_retry_after: Duration::from_millis(30),
             retry_within: 0.3,
@@ -128,6 +132,13 @@
     has_others: bool,
 }
 
+impl Tried {
+    /// Whether another upstream may be asked after so many attempts.
+    fn may_ask_others(&self, attempts: u32) -> bool {
+        self.has_others && attempts < MAX_REFUSALS
+    }
+}
+
 impl<K: KeyOwner, C: Clock> Entry<K, C> {
     /// An entry.
     pub fn new(parts: EntryParts<K, C>) -> Self {
@@ -226,13 +237,12 @@
     }
 
     /// Makes attempts until one is answered or nothing is left to try.
-    async fn see_through(&self, plan: Plan) -> Result<Reply<Permit<K, C>>, Refusal> {
+    async fn see_through(&self, mut plan: Plan) -> Result<Reply<Permit<K, C>>, Refusal> {
         let mut tried = Tried::default();
         let mut rng = fastrand::Rng::new();
-        let share = self.parts().settings.retry_share;
-        self.inner.budgets.earn(&plan.work.service, share);
+        self.earn_retries(&plan);
         loop {
-            let refusal = match self.attempt(&plan, &mut tried, &mut rng).await {
+            let refusal = match self.attempt(&mut plan, &mut tried, &mut rng).await {
                 Ok(reply) => return Ok(reply),
                 Err(refusal) => refusal,
             };
@@ -258,6 +268,20 @@
         }
     }
 
+    /// Calls of running requests earn nothing: the budget is a share of what
+    /// callers send.
+    fn earn_retries(&self, plan: &Plan) {
+        let settings = &self.parts().settings;
+        let share = match plan.is_nested {
+            true => 0.0,
+            false => settings.retry_share,
+        };
+        let nodes = self.parts().members.count() + 1;
+        let max_saved = settings.retries_saved / nodes as f64;
+        let service = &plan.work.service;
+        self.inner.budgets.earn(service, share, max_saved);
+    }
+
     fn next(&self, plan: &Plan, refusal: &Refusal, tried: &Tried, rng: &mut fastrand::Rng) -> Next {
         if tried.may_have_run >= plan.route.max_attempts {
             return Next::Stop;
@@ -269,7 +293,9 @@
             idempotent: plan.work.idempotent,
             attempts: tried.attempts,
             remaining: plan.work.deadline.saturating_duration_since(now),
-            has_others: tried.has_others && tried.attempts < MAX_REFUSALS,
+            has_others: tried.may_ask_others(tried.attempts),
+            waited: now.saturating_duration_since(plan.arrived),
+            owner_wait: plan.work.target_latency,
         };
         retry::next(failure, rng)
     }
@@ -298,10 +324,11 @@
         let left = plan.work.deadline.saturating_duration_since(now);
         // Callers that were refused together come back apart.
         let spread = 0.75 + fastrand::f64() / 2.0;
-        let wait = refusal
-            .retry_after
-            .max(settings.min_retry_after)
-            .mul_f64(spread);
+        let wait = match refusal.reason {
+            Reason::Moving | Reason::NotOwner => MOVING_RETRY,
+            _ => refusal.retry_after,
+        };
+        let wait = wait.max(settings.min_retry_after).mul_f64(spread);
         Refusal {
             outcome,
             retry_after: wait.min(left.mul_f64(settings.retry_within)),
@@ -310,6 +337,9 @@
     }
 }
 
+/// When a caller may return whose key was still moving when it was given up: the
+/// time that a move takes when its upstream answers late.
+const MOVING_RETRY: Duration = Duration::from_millis(250);
 /// Gates that are asked for one request before its caller is refused.
 const MAX_REFUSALS: u32 = 3;
 
--- a/crates/proxy/src/entry/attempt.rs
+++ b/crates/proxy/src/entry/attempt.rs
@@ -19,7 +19,7 @@
 impl<K: KeyOwner, C: Clock> Entry<K, C> {
     pub(super) async fn attempt(
         &self,
-        plan: &Plan,
+        plan: &mut Plan,
         tried: &mut Tried,
         rng: &mut fastrand::Rng,
     ) -> Result<Reply<Permit<K, C>>, Refusal> {
@@ -29,6 +29,10 @@
             false => self.choose(plan, tried, rng, now)?,
         };
         tried.nodes.push(Arc::clone(&target.node));
+        // Where another gate may still meet the target, this one should not let
+        // the request wait until it is late.
+        plan.work.may_be_late = !tried.may_ask_others(tried.attempts + 1);
+        let plan = &*plan;
         let in_flight = self.inner.targets.begin(&target.node);
         let left = plan.work.deadline.saturating_duration_since(now);
         let timeout = async {
--- a/crates/proxy/src/entry/learnt.rs
+++ b/crates/proxy/src/entry/learnt.rs
@@ -13,15 +13,13 @@
 pub(super) struct Budgets(Mutex<HashMap<ServiceName, RetryBudget>>);
 
 impl Budgets {
-    /// Counts a request, which earns `share` of a retry.
-    pub(super) fn earn(&self, service: &ServiceName, share: f64) {
+    /// Counts a request, which earns `share` of a retry, of which `max_saved`
+    /// may be saved up.
+    pub(super) fn earn(&self, service: &ServiceName, share: f64, max_saved: f64) {
         let mut budgets = lock(&self.0);
-        match budgets.get_mut(service) {
-            Some(budget) => budget.earn(share),
-            None => {
-                budgets.insert(Arc::clone(service), RetryBudget::default());
-            }
-        }
+        let budget = budgets.entry(Arc::clone(service)).or_default();
+        budget.limit_saved(max_saved);
+        budget.earn(share);
     }
 
     /// Pays for one retry; false when there is not enough.
--- a/crates/proxy/src/entry/plan.rs
+++ b/crates/proxy/src/entry/plan.rs
@@ -20,6 +20,8 @@
     pub(super) work: Work,
     pub(super) call: Call,
     pub(super) is_divided: bool,
+    /// Whether a running request makes this call.
+    pub(super) is_nested: bool,
     pub(super) arrived: Instant,
 }
 
@@ -76,6 +78,7 @@
             target_latency: route.target_latency,
             target: arrived + patience.target_left(route.target_latency, wants),
             deadline: arrived + wants.min(route.timeout),
+            may_be_late: true,
             origin: parts.identity.service.clone(),
             entry: Arc::clone(&parts.identity.node),
         };
@@ -90,6 +93,7 @@
             work,
             call,
             is_divided,
+            is_nested: patience.is_nested(),
             arrived,
         };
         Ok((Arc::clone(route), plan))
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -30,6 +30,8 @@
     pub target: Instant,
     /// When its caller stops waiting.
     pub deadline: Instant,
+    /// Whether it may wait there although it will probably miss its target.
+    pub may_be_late: bool,
     /// The service beside which it began.
     pub origin: Option<ServiceName>,
     /// The node that forwards it.
@@ -49,6 +51,7 @@
     latency_ms: u64,
     target_ms: u64,
     left_ms: u64,
+    may_be_late: bool,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     origin: Option<ServiceName>,
     entry: NodeName,
@@ -71,6 +74,7 @@
             latency_ms: u64::try_from(self.target_latency.as_millis()).unwrap_or(u64::MAX),
             target_ms: left(self.target),
             left_ms: left(self.deadline),
+            may_be_late: self.may_be_late,
             origin: self.origin.clone(),
             entry: Arc::clone(&self.entry),
         };
@@ -91,6 +95,7 @@
             target_latency: Duration::from_millis(fields.latency_ms),
             target: now + Duration::from_millis(fields.target_ms),
             deadline: now + Duration::from_millis(fields.left_ms),
+            may_be_late: fields.may_be_late,
             origin: fields.origin,
             entry: fields.entry,
         })
--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -11,8 +11,10 @@
 use ibiscove_http::{Body, Exchange, Pool, SendError};
 use ibiscove_ranges::keeper::{Keeper, Serving};
 use ibiscove_routing::admission::{Admission, Ask, Left, Ticket, Verdict};
+use ibiscove_routing::silence::Silence;
+use ibiscove_routing::usual::Usual;
 use ibiscove_store::Table;
-use ibiscove_types::{BootClock, Clock, Key, Reason};
+use ibiscove_types::{BootClock, Clock, Key, Outcome, Reason};
 use smol::channel::{Receiver, Sender};
 use smol::future::FutureExt;
 use std::collections::HashMap;
@@ -58,10 +60,8 @@
     pub max_idle: Duration,
     /// Time past the deadline for which the upstream's own answer is awaited.
     pub answer_slack: Duration,
-    /// Weight of a new time in the usual time of a route.
-    pub time_weight: f64,
-    /// Weight of a new time in the usual time of all requests; smaller, since
-    /// routes differ.
+    /// Weight of a new time in the usual time of all requests; smaller than that
+    /// of a route's, since routes differ.
     pub overall_weight: f64,
 }
 
@@ -71,7 +71,6 @@
             max_idle_once: Duration::from_millis(500),
             max_idle: Duration::from_secs(3),
             answer_slack: Duration::from_millis(20),
-            time_weight: 0.1,
             overall_weight: 0.03,
         }
     }
@@ -124,12 +123,13 @@
     keys: OnceLock<K>,
     admission: Mutex<Admission<Waiter<K, C>>>,
     times: Mutex<Times>,
+    silence: Mutex<Silence>,
 }
 
 /// Usual times at the upstream, in seconds.
 #[derive(Default)]
 struct Times {
-    by_route: HashMap<Arc<str>, f64>,
+    by_route: HashMap<Arc<str>, Usual>,
     all: Option<f64>,
 }
 
@@ -151,11 +151,59 @@
         // Those that leave the queue are told without the lock: one that was
         // given up meanwhile drops its permit, which comes here again.
         let left = self.gate.admission().ended(self.estimate, Instant::now());
+        Inner::tell(&self.gate, left);
+    }
+}
+
+/// A request that was sent to the upstream. Dropping it before it is over says
+/// that it was given up.
+struct Sent<K, C> {
+    gate: Arc<Inner<K, C>>,
+    deadline: Instant,
+    is_over: bool,
+}
+
+/// Entries give a request up at its deadline by their own clocks, which is a
+/// moment before or after that of the gate.
+const DEADLINE_SLACK: Duration = Duration::from_millis(30);
+
+impl<K, C> Drop for Sent<K, C> {
+    fn drop(&mut self) {
+        // A caller that hangs up earlier says nothing of the upstream.
+        let now = Instant::now();
+        if !self.is_over && now + DEADLINE_SLACK >= self.deadline {
+            Inner::note_answer(&self.gate, false, now);
+        }
+    }
+}
+
+impl<K, C> Inner<K, C> {
+    /// Notes whether the upstream still answers at all.
+    fn note_answer(self: &Arc<Self>, is_answered: bool, now: Instant) {
+        let is_silent = {
+            let mut silence = self.silence();
+            match is_answered {
+                true => silence.answered(now),
+                false => silence.unanswered(),
+            }
+            silence.is_silent(now)
+        };
+        let mut admission = self.admission();
+        if admission.is_probing() != is_silent {
+            log::warn!(is_silent; "whether the upstream answers has changed");
+        }
+        let refused = admission.set_probing(is_silent);
+        drop(admission);
+        Self::tell(self, refused);
+    }
+
+    /// Tells those that left the queue.
+    fn tell(gate: &Arc<Self>, left: Vec<Left<Waiter<K, C>>>) {
         for left in left {
             match left {
                 Left::Run(waiter) => {
                     let permit = Permit {
-                        gate: Arc::clone(&self.gate),
+                        gate: Arc::clone(gate),
                         estimate: waiter.estimate,
                     };
                     drop(waiter.tx.try_send(Ok(permit)));
@@ -166,15 +214,17 @@
             }
         }
     }
-}
 
-impl<K, C> Inner<K, C> {
     fn admission(&self) -> MutexGuard<'_, Admission<Waiter<K, C>>> {
         self.admission
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn silence(&self) -> MutexGuard<'_, Silence> {
+        self.silence.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn times(&self) -> MutexGuard<'_, Times> {
         self.times.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -221,6 +271,7 @@
                 keys: OnceLock::new(),
                 admission: Mutex::new(Admission::new(1)),
                 times: Mutex::default(),
+                silence: Mutex::default(),
             }),
         }
     }
@@ -234,7 +285,16 @@
 
     /// What runs and waits, and the usual time.
     pub fn load(&self) -> GateLoad {
-        let load = self.inner.admission().load();
+        let (load, is_probing) = {
+            let admission = self.inner.admission();
+            (admission.load(), admission.is_probing())
+        };
+        // A silent upstream has no room, however little is sent to it.
+        let slots = self.inner.beside.present().map_or(1, |p| p.announced.slots);
+        let load = match is_probing {
+            true => load.max(2 * slots as usize),
+            false => load,
+        };
         let all = self.inner.times().all.unwrap_or(DEFAULT_TIME.as_secs_f64());
         GateLoad {
             load: u32::try_from(load).unwrap_or(u32::MAX),
@@ -286,7 +346,13 @@
             self.inner.clock.sleep(limit).await;
             Err(Refusal::unknown(Reason::DeadlineExceeded))
         };
+        let mut sent = Sent {
+            gate: Arc::clone(&self.inner),
+            deadline: work.deadline,
+            is_over: false,
+        };
         let answered = exchange.or(timeout).await;
+        sent.is_over = true;
         let now = self.inner.clock.now();
         let took = now.saturating_duration_since(began);
         if let (Some(key), Some(keys)) = (work.key, self.inner.keys.get()) {
@@ -296,6 +362,8 @@
             self.inner.beside.note_answer(now);
             self.note_time(work, took);
         }
+        let is_lost = matches!(&answered, Err(refusal) if refusal.outcome == Outcome::Unknown);
+        self.inner.note_answer(!is_lost, now);
         answered
     }
 
@@ -324,12 +392,15 @@
     /// Waits for a slot of the upstream.
     async fn permit(&self, work: &Work) -> Result<Permit<K, C>, Refusal> {
         let now = self.inner.clock.now();
-        let estimate = self.estimate(work);
+        let usual = self.usual(work);
+        let estimate = usual.mean();
         let ask = Ask {
             priority: work.priority,
             target: work.target,
             deadline: work.deadline,
             estimate,
+            likely: usual.likely(),
+            may_be_late: work.may_be_late,
         };
         let (tx, rx) = smol::channel::bounded(1);
         let waiter = || Waiter { tx, estimate };
@@ -442,25 +513,18 @@
             .saturating_duration_since(self.inner.clock.now())
     }
 
-    fn estimate(&self, work: &Work) -> Duration {
-        let times = self.inner.times();
-        match times.by_route.get(&work.route) {
-            Some(usual) => Duration::from_secs_f64(*usual),
-            None => estimate_at_first(work),
-        }
+    fn usual(&self, work: &Work) -> Usual {
+        let known = self.inner.times().by_route.get(&work.route).copied();
+        known.unwrap_or(Usual::guessed(guess(work)))
     }
 
     fn note_time(&self, work: &Work, took: Duration) {
-        let took = took.as_secs_f64();
-        let weight = self.inner.settings.time_weight;
         let mut times = self.inner.times();
-        // The first ones and those in the tail must not pass for the usual.
-        let first = took.min(estimate_at_first(work).as_secs_f64());
-        let usual = times
-            .by_route
-            .entry(Arc::clone(&work.route))
-            .or_insert(first);
-        *usual += (took.min(*usual * MAX_OUTLIER) - *usual) * weight;
+        // The first ones must not pass for the usual.
+        let first = Usual::guessed(took.min(guess(work)));
+        let usual = times.by_route.entry(Arc::clone(&work.route));
+        usual.or_insert(first).note(took);
+        let took = took.as_secs_f64();
         let all = times.all.get_or_insert(took);
         *all += (took - *all) * self.inner.settings.overall_weight;
     }
@@ -468,12 +532,10 @@
 
 /// Targets are commonly set at a few times the usual time.
 const USUAL_IN_TARGET: u32 = 4;
-/// How many times the usual a time counts at most.
-const MAX_OUTLIER: f64 = 3.0;
 /// Time of a request at an upstream of which nothing is known yet.
 const DEFAULT_TIME: Duration = Duration::from_millis(50);
 
 /// The usual time of a route of which nothing is known yet.
-fn estimate_at_first(work: &Work) -> Duration {
+fn guess(work: &Work) -> Duration {
     work.target_latency / USUAL_IN_TARGET
 }
--- a/crates/ranges/src/balance.rs
+++ b/crates/ranges/src/balance.rs
@@ -22,6 +22,9 @@
 pub const BUSY: f64 = 0.75;
 /// Least difference in utilisation that is worth a move.
 pub const WORTHWHILE: f64 = 0.4;
+/// Owners of a service that give load away at a time, the busiest first. They
+/// all act on the same news of the others, and each move changes the one map.
+const MAX_GIVERS: usize = 4;
 /// Share of an owner's load from which one key is its load.
 const DOMINANT: f64 = 0.6;
 /// Utilisation up to which a faster upstream is given more.
@@ -155,9 +158,10 @@
     own: &Candidate,
     load: &KeyLoad,
     others: &[Candidate],
+    rng: &mut fastrand::Rng,
 ) -> Option<(KeyRange, Owner)> {
     let (to, share) = match why {
-        Why::Busy => relief(own, others),
+        Why::Busy => relief(own, others, rng),
         Why::Slow => speed_up(own, others),
     }?;
     let pieces = |owner: &Owner| map.owned_by(owner).count();
@@ -173,16 +177,24 @@
     Some((best.0, to.owner.clone()))
 }
 
-/// What share of its load a busy owner gives to the least busy other.
-fn relief<'a>(own: &Candidate, others: &'a [Candidate]) -> Option<(&'a Candidate, f64)> {
-    let least = others
-        .iter()
-        .min_by(|a, b| a.utilisation.total_cmp(&b.utilisation))?;
-    let difference = own.utilisation - least.utilisation;
-    if own.utilisation < BUSY || difference < WORTHWHILE {
+/// What share of its load a busy owner gives, and to whom: one drawn from those
+/// that are less busy by far, since others that give choose from the same.
+fn relief<'a>(
+    own: &Candidate,
+    others: &'a [Candidate],
+    rng: &mut fastrand::Rng,
+) -> Option<(&'a Candidate, f64)> {
+    let busier = others.iter().filter(|o| o.utilisation > own.utilisation);
+    if own.utilisation < BUSY || busier.count() >= MAX_GIVERS {
         return None;
     }
-    Some((least, MOVED_SHARE * difference / own.utilisation))
+    let difference = |other: &Candidate| own.utilisation - other.utilisation;
+    let takers: Vec<_> = others
+        .iter()
+        .filter(|other| difference(other) >= WORTHWHILE)
+        .collect();
+    let taker = *takers.get(rng.usize(..takers.len().max(1)))?;
+    Some((taker, MOVED_SHARE * difference(taker) / own.utilisation))
 }
 
 /// What share of its load a slow owner gives to the fastest other that has
--- a/crates/ranges/src/keeper/moving.rs
+++ b/crates/ranges/src/keeper/moving.rs
@@ -175,6 +175,7 @@
     ) -> Option<(KeyRange, Owner)> {
         let others: Vec<Candidate> = members.iter().filter_map(candidate).collect();
         let now = self.inner.parts.clock.now();
+        let rng = &mut fastrand::Rng::new();
         let mut state = self.state();
         state.load.roll(now);
         let own = Candidate {
@@ -184,8 +185,8 @@
         };
         match why {
             Why::Busy => balance::lift_hottest(&own, &state.load, &others)
-                .or_else(|| balance::shed(why, map, &own, &state.load, &others)),
-            Why::Slow => balance::shed(why, map, &own, &state.load, &others),
+                .or_else(|| balance::shed(why, map, &own, &state.load, &others, rng)),
+            Why::Slow => balance::shed(why, map, &own, &state.load, &others, rng),
         }
     }
 
--- a/crates/ranges/tests/balance.rs
+++ b/crates/ranges/tests/balance.rs
@@ -28,6 +28,10 @@
     }
 }
 
+fn rng() -> fastrand::Rng {
+    fastrand::Rng::with_seed(1)
+}
+
 fn divided(names: &[&str]) -> RangeMap {
     let owners: Vec<_> = names.iter().map(|name| owner(name)).collect();
     let map = RangeMap::unowned();
@@ -99,7 +103,8 @@
     let load = load((hot.first..hot.first + 200).map(|key| (key, 0.1)));
     let own = candidate("a", 2.0, 50);
     let others = [candidate("b", 0.5, 50), candidate("c", 0.2, 50)];
-    let (range, to) = shed(Why::Busy, &map, &own, &load, &others).expect("a gives keys");
+    let (range, to) =
+        shed(Why::Busy, &map, &own, &load, &others, &mut rng()).expect("a gives keys");
     assert_eq!(to, owner("c"), "the least busy is given them");
     let moved: f64 = load.of_range(range).map(|(_, work)| work).sum();
     assert!(
@@ -119,8 +124,15 @@
     });
     let load = load(keys);
     let own = candidate("a", 1.5, 50);
-    let (range, _) = shed(Why::Busy, &map, &own, &load, &[candidate("b", 0.1, 50)])
-        .expect("a gives the neighbours");
+    let (range, _) = shed(
+        Why::Busy,
+        &map,
+        &own,
+        &load,
+        &[candidate("b", 0.1, 50)],
+        &mut rng(),
+    )
+    .expect("a gives the neighbours");
     assert!(
         !range.contains(hot.first + 10),
         "the hot key would only carry its load along"
@@ -133,8 +145,14 @@
     let load = load((0..1_000).map(|key| (key, 0.01)));
     let own = candidate("a", 0.9, 50);
     let others = [candidate("b", 0.8, 50)];
-    assert_eq!(shed(Why::Busy, &map, &own, &load, &others), None);
-    assert_eq!(shed(Why::Slow, &map, &own, &load, &others), None);
+    assert_eq!(
+        shed(Why::Busy, &map, &own, &load, &others, &mut rng()),
+        None
+    );
+    assert_eq!(
+        shed(Why::Slow, &map, &own, &load, &others, &mut rng()),
+        None
+    );
 }
 
 #[test]
@@ -144,7 +162,8 @@
     let own = candidate("a", 0.4, 120);
     let full = candidate("b", 0.9, 40);
     let roomy = candidate("c", 0.2, 60);
-    let (_, to) = shed(Why::Slow, &map, &own, &load, &[full, roomy]).expect("a gives keys");
+    let (_, to) =
+        shed(Why::Slow, &map, &own, &load, &[full, roomy], &mut rng()).expect("a gives keys");
     assert_eq!(to, owner("c"));
 }
 
@@ -165,3 +184,30 @@
     let calm = candidate("a", 0.5, 120);
     assert_eq!(lift_hottest(&calm, &load, &others), None);
 }
+
+/// Thirty owners of which ten are busy, all with the same news: few give at a
+/// time, and not all to the same one.
+#[test]
+fn owners_that_are_busy_together_do_not_give_to_one() {
+    let names: Vec<String> = (0..30).map(|i| format!("n{i:02}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let map = divided(&names);
+    let utilisation = |i: usize| if i < 10 { 1.5 + i as f64 / 100.0 } else { 0.3 };
+    let mut gifts = Vec::new();
+    let mut rng = rng();
+    for giver in 0..30 {
+        let own = candidate(names[giver], utilisation(giver), 50);
+        let others: Vec<_> = (0..30)
+            .filter(|i| *i != giver)
+            .map(|i| candidate(names[i], utilisation(i), 50))
+            .collect();
+        let owned = map.owned_by_node(names[giver]);
+        let load = load(owned.map(|a| (a.range.first, 1.0)));
+        gifts.extend(shed(Why::Busy, &map, &own, &load, &others, &mut rng));
+    }
+    assert!((1..=4).contains(&gifts.len()), "{} give", gifts.len());
+    let mut takers: Vec<_> = gifts.iter().map(|(_, to)| &to.node).collect();
+    takers.sort();
+    takers.dedup();
+    assert!(takers.len() > 1, "all give to {takers:?}");
+}
--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -24,6 +24,12 @@
     pub deadline: Instant,
     /// How long it usually takes at the upstream.
     pub estimate: Duration,
+    /// How long it most likely takes at most; a target is met by most requests
+    /// when this fits into it.
+    pub likely: Duration,
+    /// Whether it may wait although it will probably miss its target. Not where
+    /// another upstream may still meet it.
+    pub may_be_late: bool,
 }
 
 /// Names a request that waits.
@@ -67,6 +73,11 @@
     running_work: Duration,
     waiting: BTreeMap<Ticket, (Ask, T)>,
     next_number: u64,
+    /// The upstream is silent and gets one request at a time.
+    is_probing: bool,
+    /// Share of the requests that could have met their target, had nobody waited
+    /// before them, and could not any more, newest weighing most.
+    crowding: f64,
     /// Share of the late that were served lately, by priority; all where none
     /// is noted.
     late_served: BTreeMap<Priority, f64>,
@@ -81,6 +92,8 @@
             running_work: Duration::ZERO,
             waiting: BTreeMap::new(),
             next_number: 0,
+            is_probing: false,
+            crowding: 0.0,
             late_served: BTreeMap::new(),
         }
     }
@@ -90,6 +103,26 @@
         self.concurrency = concurrency.max(1);
     }
 
+    /// Whether the upstream gets only one request at a time, since it is silent
+    /// ([`crate::silence`]). Gives those that waited, which are refused.
+    pub fn set_probing(&mut self, is_probing: bool) -> Vec<Left<T>> {
+        let begins = is_probing && !self.is_probing;
+        self.is_probing = is_probing;
+        if !begins {
+            return Vec::new();
+        }
+        let retry_after = self.drained_in();
+        let waiting = std::mem::take(&mut self.waiting).into_values();
+        waiting
+            .map(|(_, item)| Left::Refuse(item, retry_after))
+            .collect()
+    }
+
+    /// Whether the upstream gets only one request at a time.
+    pub fn is_probing(&self) -> bool {
+        self.is_probing
+    }
+
     /// Requests that run or wait.
     pub fn load(&self) -> usize {
         self.running + self.waiting.len()
@@ -97,6 +130,11 @@
 
     /// Asks for a request. `item` is kept while it waits.
     pub fn offer(&mut self, ask: Ask, item: impl FnOnce() -> T, now: Instant) -> Verdict {
+        if self.is_probing && self.running > 0 {
+            return Verdict::Refuse {
+                retry_after: self.drained_in(),
+            };
+        }
         if self.running < self.concurrency && self.waiting.is_empty() {
             // An estimate may be wrong, and only trying corrects it.
             self.start(&ask);
@@ -109,7 +147,9 @@
             false => 1.0,
         };
         let starves = ticket.misses_target && self.late_starve(ask.priority);
-        if starves || now + wait.mul_f64(caution) + ask.estimate > ask.deadline {
+        self.note_crowding(&ask, &ticket, now);
+        let gives_way = ticket.misses_target && (!ask.may_be_late || self.crowding > CROWDED);
+        if starves || gives_way || now + wait.mul_f64(caution) + ask.estimate > ask.deadline {
             return Verdict::Refuse {
                 retry_after: self.drained_in(),
             };
@@ -121,8 +161,13 @@
 
     /// A request that waits was given up.
     pub fn cancel(&mut self, ticket: &Ticket) -> Option<T> {
-        let (_, item) = self.waiting.remove(ticket)?;
-        self.note_late(ticket, false);
+        let late = Ticket {
+            misses_target: true,
+            ..*ticket
+        };
+        let found = self.waiting.remove(ticket).map(|found| (*ticket, found));
+        let (ticket, (_, item)) = found.or_else(|| Some((late, self.waiting.remove(&late)?)))?;
+        self.note_late(&ticket, false);
         Some(item)
     }
 
@@ -134,6 +179,13 @@
         }
     }
 
+    fn note_crowding(&mut self, ask: &Ask, ticket: &Ticket, now: Instant) {
+        if now + ask.likely <= ask.target {
+            let sample = if ticket.misses_target { 1.0 } else { 0.0 };
+            self.crowding += (sample - self.crowding) * CROWDING_WEIGHT;
+        }
+    }
+
     /// Whether the late of a priority were mostly passed until it was too late.
     fn late_starve(&mut self, priority: Priority) -> bool {
         let Some(served) = self.late_served.get_mut(&priority) else {
@@ -156,6 +208,14 @@
                 break;
             };
             let is_hopeless = now + ask.estimate.mul_f64(HOPELESS_SHARE) > ask.deadline;
+            if !is_hopeless && self.is_passed(&ticket, &ask, now) {
+                let late = Ticket {
+                    misses_target: true,
+                    ..ticket
+                };
+                self.waiting.insert(late, (ask, item));
+                continue;
+            }
             self.note_late(&ticket, !is_hopeless);
             if is_hopeless {
                 left.push(Left::Refuse(item, self.drained_in()));
@@ -167,6 +227,15 @@
         left
     }
 
+    /// Whether a request that is about to run has waited too long to meet its
+    /// target, while others of its priority can still meet theirs.
+    fn is_passed(&self, ticket: &Ticket, ask: &Ask, now: Instant) -> bool {
+        let next = self.waiting.first_key_value().map(|(next, _)| next);
+        let others_can =
+            next.is_some_and(|next| next.priority == ticket.priority && !next.misses_target);
+        !ticket.misses_target && now + ask.estimate > ask.target && others_can
+    }
+
     /// How long until all that runs and waits now has ended.
     pub fn drained_in(&self) -> Duration {
         let waiting: Duration = self.waiting.values().map(|(ask, _)| ask.estimate).sum();
@@ -185,7 +254,7 @@
             target: ask.target,
             number: self.next_number,
         };
-        let done = now + self.wait_before(&in_time) + ask.estimate;
+        let done = now + self.wait_before(&in_time) + ask.likely;
         Ticket {
             misses_target: done > ask.target,
             ..in_time
@@ -207,6 +276,12 @@
     }
 }
 
+/// Share of requests that were crowded out from which the late give way. A slot
+/// that a late request takes is one in which a fresh one would have been in
+/// time, and the slots are never idle then.
+const CROWDED: f64 = 0.05;
+/// Weight of one request in that share.
+const CROWDING_WEIGHT: f64 = 0.05;
 /// Share of the late that must have been served lately for more to wait. Under
 /// lasting overload those that meet their targets pass them until it is too
 /// late, and a refusal at once serves their callers better.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -20,4 +20,6 @@
 pub mod planner;
 pub mod queue;
 pub mod retry;
+pub mod silence;
 pub mod sketch;
+pub mod usual;
--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -10,10 +10,9 @@
 
 /// First wait before another attempt.
 const FIRST_WAIT: Duration = Duration::from_millis(4);
-/// Longest wait before another attempt.
-const MAX_WAIT: Duration = Duration::from_millis(100);
-/// Longest wait for a newer map. Asking a gate again costs its upstream nothing.
-const MAX_MAP_WAIT: Duration = Duration::from_millis(25);
+/// Longest wait before another attempt. A move of keys takes some tens of
+/// milliseconds, and each attempt costs two nodes their processor time.
+const MAX_WAIT: Duration = Duration::from_millis(64);
 /// Attempts in all that are paid from the budget.
 const MAX_CHARGED_ATTEMPTS: u32 = 4;
 
@@ -30,6 +29,10 @@
     pub attempts: u32,
     /// Time left.
     pub remaining: Duration,
+    /// Time since the request came.
+    pub waited: Duration,
+    /// How long it may wait in all for an owner to be found.
+    pub owner_wait: Duration,
     /// Whether another upstream, not tried yet, may take the request.
     pub has_others: bool,
 }
@@ -84,11 +87,12 @@
     if charged && failure.attempts >= MAX_CHARGED_ATTEMPTS {
         return Next::Stop;
     }
-    let max_wait = match charged {
-        true => MAX_WAIT,
-        false => MAX_MAP_WAIT,
-    };
-    let wait = backoff(failure.attempts, max_wait, rng);
+    if !charged && failure.waited >= failure.owner_wait {
+        // An owner is found well within the target unless something is stuck,
+        // and a caller that is told to come back serves itself better.
+        return Next::Stop;
+    }
+    let wait = backoff(failure.attempts, MAX_WAIT, rng);
     if wait >= failure.remaining {
         return Next::Stop;
     }
@@ -107,15 +111,23 @@
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     tokens: f64,
+    max_saved: f64,
 }
 
 impl RetryBudget {
     /// Retries that may be saved up, so that few requests can retry at all.
     pub const MAX_SAVED: f64 = 10.0;
 
+    /// Sets how many retries may be saved up, at least one. Nodes that share one
+    /// budget share what they save too.
+    pub fn limit_saved(&mut self, max_saved: f64) {
+        self.max_saved = max_saved.clamp(1.0, Self::MAX_SAVED);
+        self.tokens = self.tokens.min(self.max_saved);
+    }
+
     /// Counts a request, which earns `share` of a retry.
     pub fn earn(&mut self, share: f64) {
-        self.tokens = (self.tokens + share).min(Self::MAX_SAVED);
+        self.tokens = (self.tokens + share).min(self.max_saved);
     }
 
     /// Pays for one retry; false when there is not enough.
@@ -132,6 +144,7 @@
     fn default() -> Self {
         Self {
             tokens: Self::MAX_SAVED,
+            max_saved: Self::MAX_SAVED,
         }
     }
 }
--- a/crates/routing/tests/admission.rs
+++ b/crates/routing/tests/admission.rs
@@ -13,6 +13,8 @@
         target: now + ms(target),
         deadline: now + ms(deadline),
         estimate: ms(estimate),
+        likely: ms(estimate),
+        may_be_late: true,
     }
 }
 
--- a/crates/routing/tests/retry.rs
+++ b/crates/routing/tests/retry.rs
@@ -14,9 +14,28 @@
         attempts: 1,
         remaining: Duration::from_secs(1),
         has_others: false,
+        waited: Duration::ZERO,
+        owner_wait: Duration::from_millis(300),
     }
 }
 
+/// A key that stays without its owner: callers are not kept waiting for it.
+#[parameterized(
+    moving = { Reason::Moving },
+    not_owner = { Reason::NotOwner },
+    no_owner = { Reason::NoOwner },
+    draining = { Reason::Draining },
+)]
+fn a_wait_for_an_owner_has_an_end(reason: Reason) {
+    let mut rng = fastrand::Rng::with_seed(1);
+    let waited = |millis| Failure {
+        waited: Duration::from_millis(millis),
+        ..failure(Outcome::NotRun, reason, false)
+    };
+    assert!(matches!(next(waited(290), &mut rng), Next::Again { .. }));
+    assert_eq!(next(waited(300), &mut rng), Next::Stop);
+}
+
 #[parameterized(
     not_run_may_go_again = { Outcome::NotRun, Reason::NotOwner, false, Some(false) },
     a_dead_peer_is_charged = { Outcome::NotRun, Reason::PeerUnreachable, false, Some(true) },
@@ -84,3 +103,32 @@
     assert_eq!(look(Some(now)), None);
     assert_eq!(look(None), None);
 }
+
+/// Every request fails for ten seconds at every entry of a fleet: what all of
+/// them repeat stays within a fifth of the requests and the slack that the
+/// smallest deployment allows, 58.
+#[parameterized(
+    ten_nodes = { 10, 20 },
+    a_dozen_nodes = { 12, 180 },
+    many_nodes = { 75, 650 },
+    many_nodes_and_few_requests = { 75, 20 },
+)]
+fn a_fleet_of_entries_shares_one_budget(nodes: usize, requests_per_s: usize) {
+    const SHARE: f64 = 0.1;
+    const SAVED_IN_ALL: f64 = 50.0;
+    let mut budgets = vec![RetryBudget::default(); nodes];
+    let mut rng = fastrand::Rng::with_seed(7);
+    let mut repeats = 0;
+    for _ in 0..10 * requests_per_s {
+        let budget = &mut budgets[rng.usize(..nodes)];
+        budget.limit_saved(SAVED_IN_ALL / nodes as f64);
+        budget.earn(SHARE);
+        while budget.pay() {
+            repeats += 1;
+        }
+    }
+    let allowed = 2 * requests_per_s + 58;
+    // Below one retry each, an entry could never retry at all.
+    let allowed = allowed + nodes.saturating_sub(SAVED_IN_ALL as usize);
+    assert!(repeats <= allowed, "{repeats} of {allowed}");
+}
