A stopping node's shared upstream is used until shortly before its end

Now others are told 0.8 s before the earliest end, unless the node gives keys away. The test in crates/router/tests/path.rs fails without it (503 half a second after the stop).

--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -84,7 +84,10 @@
     pushed: Arc<Event>,
     /// What is being fetched from other nodes.
     fetching: behind::InFetch,
+    /// The node takes no new callers and gives its keys away.
     leaving: AtomicBool,
+    /// Other nodes send nothing more to its gate.
+    turned_away: AtomicBool,
     started: Instant,
 }
 
@@ -161,6 +164,7 @@
                 pushed,
                 fetching: behind::InFetch::default(),
                 leaving: AtomicBool::new(false),
+                turned_away: AtomicBool::new(false),
                 settings,
             }),
         };
@@ -337,7 +341,7 @@
             upstream: upstream.as_ref().map(heartbeat::upstream_presence),
             config_version: inner.config.version() as i64,
             maps: heartbeat::map_versions(inner.maps.versions()),
-            leaving: inner.leaving.load(Ordering::Acquire),
+            leaving: inner.turned_away.load(Ordering::Acquire),
             lease_version: inner
                 .keeper
                 .get()
--- a/crates/router/src/stop.rs
+++ b/crates/router/src/stop.rs
@@ -12,6 +12,10 @@
 /// Share of the least time after which idle connections are closed, so that
 /// callers come back elsewhere.
 const CLOSE_IDLE_AFTER: f64 = 0.5;
+/// Time before the earliest end at which other nodes are told to turn away from
+/// an upstream of a shared service. Most requests take less, and the others have
+/// until the latest end.
+const TURN_AWAY_BEFORE: Duration = Duration::from_millis(800);
 
 impl<T: Table, G: Grantee, C: Clock + BootClock> Router<T, G, C> {
     /// Leaves: callers and other nodes are told, keys are given away, and
@@ -22,17 +26,25 @@
         inner.leaving.store(true, Ordering::Release);
         if let Some(keeper) = inner.keeper.get() {
             keeper.leave();
+            // Nobody must give it keys any more.
+            self.turn_away();
         }
-        inner.pushed.notify(usize::MAX);
         let began = inner.clock.now();
         let elapsed = || inner.clock.now().saturating_duration_since(began);
         let close_idle = inner.settings.leave_at_least.mul_f64(CLOSE_IDLE_AFTER);
+        let turn_away = inner
+            .settings
+            .leave_at_least
+            .saturating_sub(TURN_AWAY_BEFORE);
         let mut is_closing = false;
         while elapsed() < inner.settings.leave_at_most {
             if !is_closing && elapsed() >= close_idle {
                 inner.callers.drain();
                 is_closing = true;
             }
+            if elapsed() >= turn_away {
+                self.turn_away();
+            }
             let is_busy = inner.callers.busy() + inner.peer_server.busy() > 0;
             let owns = inner.keeper.get().is_some_and(|keeper| keeper.owns_any());
             if !is_busy && !owns && elapsed() >= inner.settings.leave_at_least {
@@ -44,4 +56,11 @@
         log::info!(took_ms = elapsed().as_millis() as u64, lived_s = lived.as_secs(),
             left = inner.callers.busy() + inner.peer_server.busy(); "left");
     }
+
+    /// Tells the other nodes to send nothing more.
+    fn turn_away(&self) {
+        if !self.inner.turned_away.swap(true, Ordering::AcqRel) {
+            self.inner.pushed.notify(usize::MAX);
+        }
+    }
 }
--- a/crates/router/tests/path.rs
+++ b/crates/router/tests/path.rs
@@ -223,3 +223,24 @@
         assert!(body.contains("not-run"), "{body}");
     });
 }
+
+/// A rolling restart: the upstream beside a stopping node lives on, and its
+/// service is shared, so its slots are used until shortly before the node ends.
+#[test]
+fn the_upstream_of_a_stopping_node_is_used_almost_to_its_end() {
+    smol::block_on(async {
+        let table = MemoryPlatform::default();
+        let (gallery, _signs, _) = node(3, "gallery", &table).await;
+        let (_other, _deposits, at_other) = node(4, "deposits", &table).await;
+        let pool = Pool::new(PoolSettings::default());
+        assert!(gallery.take_config("7".into()));
+        until_served(&pool, at_other, "/signs/1").await;
+        let stopping = gallery.clone();
+        let stopped = smol::spawn(async move { stopping.leave().await });
+        smol::Timer::after(Duration::from_millis(500)).await;
+        assert!(!gallery.is_ready(), "its own callers go elsewhere");
+        assert_eq!(call(&pool, at_other, "/signs/2").await.0, 200);
+        stopped.await;
+        assert_eq!(call(&pool, at_other, "/signs/3").await.0, 503);
+    });
+}
