--- a/crates/routing/src/patience.rs
+++ b/crates/routing/src/patience.rs
@@ -10,6 +10,9 @@
 
 /// Weight of one request in the share of those that bring the full time.
 const WEIGHT: f64 = 0.02;
+/// A call may take this part of the time that its request has left, so that the
+/// request can still use the answer.
+const NESTED_WAIT: u32 = 2;
 /// Share below which a route is one of calls. Even when every caller is refused
 /// and comes back once, half of the requests bring the full time.
 const NESTED_BELOW: f64 = 0.2;
@@ -46,9 +49,11 @@
 
     /// How long an answer is of full worth to a caller that waits for `wants`.
     pub fn target_left(&self, target_latency: Duration, wants: Duration) -> Duration {
-        // What a running request left its call says nothing of the call's age.
         match self.is_nested() {
-            true => target_latency,
+            // What a running request left its call says nothing of the call's
+            // age. Late for the call may still be in time for its request, whose
+            // work is lost when the call is refused.
+            true => target_latency.max(wants / NESTED_WAIT),
             false => target_latency.saturating_sub(self.longest.saturating_sub(wants)),
         }
     }
--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -36,6 +36,7 @@
     last_timer: u64,
     rng: fastrand::Rng,
     nodes: Vec<NodeTime>,
+    boot_clocks_stop: bool,
 }
 
 thread_local! {
@@ -71,6 +72,7 @@
                     frozen_until: Duration::ZERO,
                     suspended: Duration::ZERO,
                 }],
+                boot_clocks_stop: false,
             }),
         })
     }
@@ -107,6 +109,12 @@
         self.state().nodes[node].suspended += length;
     }
 
+    /// Lets every clock stand still while its node is suspended, those too that
+    /// should go on. Shows that a test notices what rests on them.
+    pub fn stop_boot_clocks(&self) {
+        self.state().boot_clocks_stop = true;
+    }
+
     /// Whether a node's tasks are stopped.
     pub fn is_frozen(&self, node: NodeIndex) -> bool {
         let state = self.state();
@@ -266,6 +274,11 @@
 impl BootClock for SimClock {
     fn since_boot(&self) -> SinceBoot {
         let state = self.sim.state();
-        state.now.mul_f64(state.nodes[self.node].rate)
+        let node = &state.nodes[self.node];
+        let stood_still = match state.boot_clocks_stop {
+            true => node.suspended,
+            false => Duration::ZERO,
+        };
+        state.now.saturating_sub(stood_still).mul_f64(node.rate)
     }
 }
