Release nothing while the table is away; calls and other requests share a shortage

A node now reads the map before it releases anything, and a range is served until its turn. New trap in the explorer, which failed before.

Each kind now gets half while the other waits. Ruled out: a stuck gate (it ran 62 of load all the while). Late requests give way only to fresh ones of their own priority or a more urgent one.

--- a/crates/explain/src/lines.rs
+++ b/crates/explain/src/lines.rs
@@ -83,11 +83,10 @@
 
     fn add_row(&mut self, label: &str, row: &str) {
         let start = row.find('{').unwrap_or(row.len());
-        let prefix = row[..start].trim_matches(|c: char| !c.is_alphanumeric());
-        let label = match prefix.is_empty() {
-            true => label,
-            false => prefix,
-        };
+        // Collectors put a time, a name and a mark before a line, in that order.
+        let words = row[..start].split_whitespace();
+        let mut names = words.filter(|word| word.chars().any(char::is_alphanumeric));
+        let label = names.next_back().unwrap_or(label);
         // A line that was cut off may be followed by a whole one.
         let mut rest = &row[start..];
         let mut found = false;
--- a/crates/explain/tests/story.rs
+++ b/crates/explain/tests/story.rs
@@ -138,7 +138,7 @@
 fn lines_of_several_processes_in_one_file_are_told_apart() {
     let lines = |name: &str, text: &str| -> Vec<String> {
         text.lines()
-            .map(|line| format!("{name} | {line}"))
+            .map(|line| format!("  31.7270 {name} | {line}"))
             .collect()
     };
     let (entry, gate) = (lines("pod-0", ENTRY), lines("pod-1", GATE));
--- a/crates/proxy/src/entry/plan.rs
+++ b/crates/proxy/src/entry/plan.rs
@@ -10,7 +10,7 @@
 use hyper::HeaderMap;
 use hyper::header::HOST;
 use hyper::http::uri::PathAndQuery;
-use ibiscove_routing::admission::Priority;
+use ibiscove_routing::admission;
 use ibiscove_types::{Clock, Key, Reason};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -73,8 +73,8 @@
             key,
             idempotent: route.idempotent,
             priority: match patience.is_nested() {
-                true => NESTED_PRIORITY,
-                false => route.priority.saturating_add(NESTED_PRIORITY + 1),
+                true => admission::CALLS,
+                false => route.priority.saturating_add(admission::CALLS + 1),
             },
             target_latency: route.target_latency,
             target: arrived + patience.target_left(route.target_latency, wants),
@@ -101,8 +101,6 @@
     }
 }
 
-/// Rank of calls that running requests make; the routes' own follow after it.
-const NESTED_PRIORITY: Priority = 0;
 /// When a caller may return to a node that has no configuration yet.
 const NO_CONFIGURATION_RETRY: Duration = Duration::from_millis(300);
 fn key(from: &HeaderMap, names: &HeaderNames, is_divided: bool) -> Result<Option<Key>, Refusal> {
--- a/crates/ranges/src/keeper/moving.rs
+++ b/crates/ranges/src/keeper/moving.rs
@@ -7,9 +7,10 @@
 use crate::balance::{self, Candidate, Why};
 use crate::grants::{Grantee, ReleaseCall, ReleaseReply};
 use crate::map::{KeyRange, Owner, RangeMap, Transfer};
+use crate::rows;
 use futures_lite::FutureExt;
 use ibiscove_mesh::Member;
-use ibiscove_store::{Table, Transaction};
+use ibiscove_store::{Table, TableError, Transaction};
 use ibiscove_types::{BootClock, Clock, NodeName};
 use std::time::Duration;
 
@@ -22,6 +23,9 @@
 const SETTLE_SPEED: Duration = Duration::from_secs(5);
 /// Pause before a release is tried again.
 const RELEASE_RETRY: Duration = Duration::from_millis(60);
+/// Time for the table to show that it can be reached: a slow store answers
+/// within it, and a range can wait so long for its move.
+const TABLE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time between two looks for the answer to a grant.
 const ANSWER_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -57,7 +61,35 @@
             true => self.all_moves(&map, &own),
             false => self.moves_for_balance(&map, &own),
         };
-        self.carry_out(&own, moves).await;
+        if !moves.is_empty() && self.table_answers().await {
+            self.carry_out(&own, moves).await;
+        }
+    }
+
+    /// Whether the table can be reached now. A range that is released and cannot
+    /// be given to anybody is served by nobody. Brings the map up to date.
+    async fn table_answers(&self) -> bool {
+        let key = rows::map_key(&self.inner.parts.service);
+        let timeout = async {
+            self.inner.parts.clock.sleep(TABLE_TIMEOUT).await;
+            Err(TableError::Unanswered("no answer in time".to_owned()))
+        };
+        let found = self.inner.parts.table.get(&key).or(timeout).await;
+        match found {
+            Ok(row) => {
+                let map = row.and_then(|row| Some((row.version, rows::read_map(&key, &row).ok()?)));
+                if let Some((version, map)) = map {
+                    self.take_map(version, map);
+                }
+                true
+            }
+            Err(err) => {
+                metrics::counter!("ibiscove_moves_put_off_total").increment(1);
+                log::warn!(service = &*self.inner.parts.service;
+                    "ranges are not moved now: {err}");
+                false
+            }
+        }
     }
 
     /// What goes to members that joined, or away from a busy or slow upstream;
@@ -201,6 +233,8 @@
 
     /// Releases a range and writes its new owner.
     async fn hand_over(&self, own: &Owner, range: KeyRange, to: Owner) {
+        // Ranges whose turn has not come are served meanwhile.
+        let few_at_a_time = self.inner.releases.acquire().await;
         let calls = self.state().grants.begin_release(&own.life, range);
         let mut transfers = Vec::new();
         for call in calls {
@@ -226,6 +260,7 @@
                 handover,
             });
         }
+        drop(few_at_a_time);
         self.state().pending.extend(transfers);
         self.write_pending().await;
     }
@@ -233,7 +268,6 @@
     /// Ends a grant. A busy upstream resets connections, and a release may be
     /// repeated, so one that fails is tried again until the time is up.
     async fn release(&self, call: ReleaseCall) -> ReleaseReply {
-        let _few_at_a_time = self.inner.releases.acquire().await;
         let limit = self.inner.parts.settings.grants.release_timeout;
         let timeout = async {
             self.inner.parts.clock.sleep(limit).await;
--- a/crates/ranges/tests/explorer/traps.rs
+++ b/crates/ranges/tests/explorer/traps.rs
@@ -114,6 +114,37 @@
     }
 }
 
+/// A node that is cut off from the table released ranges that it could give to
+/// nobody, and they stayed unserved until the table was back.
+#[test]
+fn nothing_is_released_while_the_table_is_away() {
+    for seed in 0..20 {
+        let world = world(seed);
+        let down = TableTrouble {
+            is_down: true,
+            ..TableTrouble::default()
+        };
+        world.table.set(0, down);
+        world.at(secs(9), |world| world.endpoints.drain(0));
+        world.sim.run_until(secs(12));
+        let unheld = world.endpoints.unheld();
+        assert!(unheld.is_empty(), "seed {seed}: nobody holds {unheld:?}");
+        world.table.set(0, TableTrouble::default());
+        world.sim.run_until(secs(16));
+        world.endpoints.stop(0);
+        assert!(
+            world.endpoints.unheld().is_empty(),
+            "seed {seed}: they move once the table is back"
+        );
+        assert!(
+            world.endpoints.broken().is_empty(),
+            "{:?}",
+            world.endpoints.broken()
+        );
+        world.finish();
+    }
+}
+
 fn breaks_within(schedules: u64, settings: KeeperSettings) -> bool {
     (0..schedules).any(|seed| {
         let broken = play(seed, settings);
--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -13,6 +13,11 @@
 /// Rank of a request: 0 is the most urgent.
 pub type Priority = u8;
 
+/// Rank of calls that running requests make. They go before all others, for the
+/// work of their requests is spent already, but they take half of the upstream
+/// at most while others wait: what calls them may be the least urgent of all.
+pub const CALLS: Priority = 0;
+
 /// A request at a gate.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Ask {
@@ -73,11 +78,13 @@
     running_work: Duration,
     waiting: BTreeMap<Ticket, (Ask, T)>,
     next_number: u64,
+    /// Work of calls less that of others, started while both waited, in seconds.
+    calls_ahead: f64,
     /// The upstream is silent and gets one request at a time.
     is_probing: bool,
     /// Share of the requests that could have met their target, had nobody waited
-    /// before them, and could not any more, newest weighing most.
-    crowding: f64,
+    /// before them, and could not any more, newest weighing most; by priority.
+    crowding: BTreeMap<Priority, f64>,
     /// Share of the late that were served lately, by priority; all where none
     /// is noted.
     late_served: BTreeMap<Priority, f64>,
@@ -92,8 +99,9 @@
             running_work: Duration::ZERO,
             waiting: BTreeMap::new(),
             next_number: 0,
+            calls_ahead: 0.0,
             is_probing: false,
-            crowding: 0.0,
+            crowding: BTreeMap::new(),
             late_served: BTreeMap::new(),
         }
     }
@@ -148,7 +156,7 @@
         };
         let starves = ticket.misses_target && self.late_starve(ask.priority);
         self.note_crowding(&ask, &ticket, now);
-        let gives_way = ticket.misses_target && (!ask.may_be_late || self.crowding > CROWDED);
+        let gives_way = ticket.misses_target && (!ask.may_be_late || self.is_crowded(ask.priority));
         if starves || gives_way || now + wait.mul_f64(caution) + ask.estimate > ask.deadline {
             return Verdict::Refuse {
                 retry_after: self.drained_in(),
@@ -182,10 +190,17 @@
     fn note_crowding(&mut self, ask: &Ask, ticket: &Ticket, now: Instant) {
         if now + ask.likely <= ask.target {
             let sample = if ticket.misses_target { 1.0 } else { 0.0 };
-            self.crowding += (sample - self.crowding) * CROWDING_WEIGHT;
+            let crowding = self.crowding.entry(ask.priority).or_default();
+            *crowding += (sample - *crowding) * CROWDING_WEIGHT;
         }
     }
 
+    /// Whether fresh requests of a priority or a more urgent one are crowded out.
+    fn is_crowded(&self, priority: Priority) -> bool {
+        let mut urgent = self.crowding.range(..=priority);
+        urgent.any(|(_, crowding)| *crowding > CROWDED)
+    }
+
     /// Whether the late of a priority were mostly passed until it was too late.
     fn late_starve(&mut self, priority: Priority) -> bool {
         let Some(served) = self.late_served.get_mut(&priority) else {
@@ -204,7 +219,7 @@
         self.running_work = self.running_work.saturating_sub(estimate);
         let mut left = Vec::new();
         while self.running < self.concurrency {
-            let Some((ticket, (ask, item))) = self.waiting.pop_first() else {
+            let Some((ticket, (ask, item))) = self.next_waiting() else {
                 break;
             };
             let is_hopeless = now + ask.estimate.mul_f64(HOPELESS_SHARE) > ask.deadline;
@@ -221,12 +236,36 @@
                 left.push(Left::Refuse(item, self.drained_in()));
                 continue;
             }
+            self.note_share(&ask);
             self.start(&ask);
             left.push(Left::Run(item));
         }
         left
     }
 
+    /// Takes the next request out of the queue: the first, or the first that is
+    /// no call when calls have had their half.
+    fn next_waiting(&mut self) -> Option<(Ticket, (Ask, T))> {
+        let other = self.waiting.keys().find(|ticket| ticket.priority != CALLS);
+        match other.copied().filter(|_| self.calls_ahead > 0.0) {
+            Some(ticket) => self.waiting.remove_entry(&ticket),
+            None => self.waiting.pop_first(),
+        }
+    }
+
+    /// Notes the work of a request that leaves the queue to run.
+    fn note_share(&mut self, ask: &Ask) {
+        let is_call = ask.priority == CALLS;
+        let mut waiting = self.waiting.keys();
+        let is_contended = waiting.any(|ticket| (ticket.priority == CALLS) != is_call);
+        let work = ask.estimate.as_secs_f64();
+        match (is_contended, is_call) {
+            (true, true) => self.calls_ahead += work,
+            (true, false) => self.calls_ahead -= work,
+            (false, _) => self.calls_ahead = 0.0,
+        }
+    }
+
     /// Whether a request that is about to run has waited too long to meet its
     /// target, while others of its priority can still meet theirs.
     fn is_passed(&self, ticket: &Ticket, ask: &Ask, now: Instant) -> bool {
@@ -263,12 +302,25 @@
 
     /// How long a request with this ticket would wait.
     fn wait_before(&self, ticket: &Ticket) -> Duration {
-        let ahead = self.waiting.range(..ticket);
-        let ahead: Duration = ahead.map(|(_, (ask, _))| ask.estimate).sum();
+        let is_call = ticket.priority == CALLS;
+        let (mut same, mut other) = (Duration::ZERO, Duration::ZERO);
+        for (waiting, (ask, _)) in &self.waiting {
+            match (waiting.priority == CALLS) == is_call {
+                true if waiting < ticket => same += ask.estimate,
+                true => {}
+                false => other += ask.estimate,
+            }
+        }
+        // Of the two kinds neither gets more than half while the other waits.
+        let ahead = same + other.min(same.max(self.mean_work()));
         // The slots free up one after the other, each after its share of the
         // mean time of those that run.
-        let mean = self.running_work / u32::try_from(self.running.max(1)).unwrap_or(u32::MAX);
-        self.spread(ahead + mean)
+        self.spread(ahead + self.mean_work())
+    }
+
+    /// Mean time of the requests that run.
+    fn mean_work(&self) -> Duration {
+        self.running_work / u32::try_from(self.running.max(1)).unwrap_or(u32::MAX)
     }
 
     fn spread(&self, work: Duration) -> Duration {
--- a/crates/routing/tests/admission.rs
+++ b/crates/routing/tests/admission.rs
@@ -1,6 +1,6 @@
 //! Who runs, waits or is refused at a gate, by load pattern.
 
-use ibiscove_routing::admission::{Admission, Ask, Left, Verdict};
+use ibiscove_routing::admission::{Admission, Ask, CALLS, Left, Verdict};
 use std::time::{Duration, Instant};
 
 fn ms(millis: u64) -> Duration {
@@ -164,3 +164,61 @@
         admission.load()
     );
 }
+
+/// A crowd of fresh archive pulls: a late deposit still goes before them. Where
+/// fresh deposits are crowded out too, it gives way to those.
+#[test]
+fn the_late_give_way_to_fresh_ones_of_their_priority() {
+    let now = Instant::now();
+    let mut admission = full(4, 100, now);
+    for _ in 0..200 {
+        admission.offer(ask(now, 2, 100, 300, 2_000), || "archive", now);
+    }
+    let late = ask(now, 1, 50, 10, 900);
+    let Verdict::Wait(ticket) = admission.offer(late, || "late deposit", now) else {
+        panic!("archive pulls crowd out a late deposit");
+    };
+    admission.cancel(&ticket);
+    for _ in 0..200 {
+        admission.offer(ask(now, 1, 50, 150, 900), || "deposit", now);
+    }
+    let late = admission.offer(late, || "late deposit", now);
+    assert!(matches!(late, Verdict::Refuse { .. }));
+}
+
+/// A shortage in which calls of running requests alone would fill the upstream:
+/// orders still get half of it, and calls the other half.
+#[test]
+fn calls_and_other_requests_share_a_shortage() {
+    let now = Instant::now();
+    let mut admission = full(2, 40, now);
+    let mut ran = [0_u64; 2];
+    for _ in 0..400 {
+        admission.offer(ask(now, CALLS, 20, 900, 900), || "call", now);
+        admission.offer(ask(now, CALLS + 2, 80, 900, 900), || "order", now);
+        let Some(Left::Run(next)) = admission.ended(ms(40), now).pop() else {
+            continue;
+        };
+        match next {
+            "call" => ran[0] += 20,
+            _ => ran[1] += 80,
+        }
+    }
+    let share = ran[1] as f64 / (ran[0] + ran[1]) as f64;
+    assert!((0.4..0.6).contains(&share), "orders got {share:.2}");
+}
+
+/// Without other requests calls take everything, and the other way round.
+#[test]
+fn nothing_is_kept_free_for_those_that_do_not_wait() {
+    let now = Instant::now();
+    for priority in [CALLS, CALLS + 1] {
+        let mut admission = full(1, 40, now);
+        for _ in 0..3 {
+            admission.offer(ask(now, priority, 40, 900, 900), || "only", now);
+        }
+        for _ in 0..3 {
+            assert_eq!(admission.ended(ms(40), now), [Left::Run("only")]);
+        }
+    }
+}
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -106,6 +106,16 @@
     lines
 }
 
+/// Callers choose ids, so a text may hold anything; what would move the cursor
+/// is escaped.
+fn on_one_line(text: &str) -> String {
+    let escape = |c: char| match c.is_control() {
+        true => c.escape_default().to_string(),
+        false => c.to_string(),
+    };
+    text.chars().map(escape).collect()
+}
+
 /// One line of text; a star marks the lines of what was asked.
 fn row(step: &Step, width: usize) -> String {
     let mark = match step.role {
@@ -117,10 +127,10 @@
         .fields
         .iter()
         .map(|(name, value)| match value {
-            Value::String(text) => format!(" {name}={}", text.escape_debug()),
+            Value::String(text) => format!(" {name}={}", on_one_line(text)),
             value => format!(" {name}={value}"),
         })
         .collect();
-    let message = step.message.escape_debug();
+    let message = on_one_line(&step.message);
     format!("{mark} {time} {:width$} {message}{fields}", step.process)
 }
