--- a/crates/routing/src/patience.rs
+++ b/crates/routing/src/patience.rs
@@ -10,9 +10,6 @@
 
 /// Weight of one request in the share of those that bring the full time.
 const WEIGHT: f64 = 0.02;
-/// A call may take this part of the time that its request has left, so that the
-/// request can still use the answer.
-const NESTED_WAIT: u32 = 2;
 /// Share below which a route is one of calls. Even when every caller is refused
 /// and comes back once, half of the requests bring the full time.
 const NESTED_BELOW: f64 = 0.2;
@@ -51,9 +48,8 @@
     pub fn target_left(&self, target_latency: Duration, wants: Duration) -> Duration {
         match self.is_nested() {
             // What a running request left its call says nothing of the call's
-            // age. Late for the call may still be in time for its request, whose
-            // work is lost when the call is refused.
-            true => target_latency.max(wants / NESTED_WAIT),
+            // age.
+            true => target_latency,
             false => target_latency.saturating_sub(self.longest.saturating_sub(wants)),
         }
     }
--- a/crates/routing/tests/patience.rs
+++ b/crates/routing/tests/patience.rs
@@ -33,8 +33,5 @@
     let mut rng = fastrand::Rng::with_seed(4);
     (0..500).for_each(|_| patience.note(ms(rng.u64(300..960))));
     assert!(patience.is_nested());
-    // As long as the request that waits for it can use it, and no less than the
-    // route's own target.
-    assert_eq!(patience.target_left(ms(60), ms(400)), ms(200));
-    assert_eq!(patience.target_left(ms(60), ms(80)), ms(60));
+    assert_eq!(patience.target_left(ms(60), ms(400)), ms(60));
 }
