--- a/crates/explain/src/events.rs
+++ b/crates/explain/src/events.rs
@@ -48,6 +48,7 @@
     ("range map taken", Subject::Owner),
     ("ranges without an owner", Subject::Owner),
     ("ranges of ", Subject::Owner),
+    ("ranges are not moved now", Subject::Owner),
     ("released ranges are not written", Subject::Owner),
     ("a newer range map was not", Subject::Owner),
     ("a grant failed", Subject::Grant),
