Requests for a range that nobody serves are refused at once, after the first

Ruled out: taking the range back, since the unanswered write may still be carried out. The first requests wait as before; after one has waited in vain others are refused at once for a second, by the range's fence, so a new owner ends it.

--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -18,8 +18,8 @@
 use ibiscove_mesh::Members;
 use ibiscove_ranges::RangeMaps;
 use ibiscove_routing::retry::{self, Failure, Next};
-use ibiscove_types::{Clock, DataCentre, NodeName, Outcome, Reason, ServiceName};
-use learnt::{Budgets, Callers};
+use ibiscove_types::{Clock, DataCentre, Fence, NodeName, Outcome, Reason, ServiceName};
+use learnt::{Budgets, Callers, StuckRanges};
 use plan::Plan;
 use smol::future::FutureExt;
 use std::sync::Arc;
@@ -119,6 +119,7 @@
     targets: Targets,
     budgets: Budgets,
     callers: Callers,
+    stuck: StuckRanges,
 }
 
 /// What has been tried for a request.
@@ -130,6 +131,8 @@
     /// Attempts that may have run.
     may_have_run: u32,
     has_others: bool,
+    /// Fence of the range that the request's key lies in.
+    fence: Option<Fence>,
 }
 
 impl Tried {
@@ -148,6 +151,7 @@
                 targets: Targets::default(),
                 budgets: Budgets::default(),
                 callers: Callers::default(),
+                stuck: StuckRanges::default(),
             }),
         }
     }
@@ -243,7 +247,12 @@
         self.earn_retries(&plan);
         loop {
             let refusal = match self.attempt(&mut plan, &mut tried, &mut rng).await {
-                Ok(reply) => return Ok(reply),
+                Ok(reply) => {
+                    if let Some(fence) = tried.fence {
+                        self.inner.stuck.clear(&plan.work.service, fence);
+                    }
+                    return Ok(reply);
+                }
                 Err(refusal) => refusal,
             };
             tried.attempts += 1;
@@ -263,11 +272,43 @@
                     count_retry(Reason::RetryBudget);
                     return Err(self.conclude(&plan, refusal, &tried));
                 }
-                Next::Stop => return Err(self.conclude(&plan, refusal, &tried)),
+                Next::Stop => {
+                    self.note_stuck(&plan, &refusal, &tried);
+                    return Err(self.conclude(&plan, refusal, &tried));
+                }
             }
         }
     }
 
+    /// Remembers a range whose owner a request has waited for in vain.
+    fn note_stuck(&self, plan: &Plan, refusal: &Refusal, tried: &Tried) {
+        let now = self.parts().clock.now();
+        let waited = now.saturating_duration_since(plan.arrived);
+        let is_ownerless = matches!(
+            refusal.reason,
+            Reason::Moving | Reason::NotOwner | Reason::NoOwner | Reason::Draining
+        );
+        if let Some(fence) = tried.fence
+            && is_ownerless
+            && waited >= plan.work.target_latency
+        {
+            self.inner.stuck.note(&plan.work.service, fence, now);
+        }
+    }
+
+    /// How long a request may wait for the owner of its key.
+    fn owner_wait(&self, plan: &Plan, tried: &Tried, now: Instant) -> Duration {
+        let service = &plan.work.service;
+        let stuck = &self.inner.stuck;
+        let is_stuck = tried
+            .fence
+            .is_some_and(|fence| stuck.is_stuck(service, fence, now));
+        match is_stuck {
+            true => Duration::ZERO,
+            false => plan.work.target_latency,
+        }
+    }
+
     /// Calls of running requests earn nothing: the budget is a share of what
     /// callers send.
     fn earn_retries(&self, plan: &Plan) {
@@ -295,7 +336,7 @@
             remaining: plan.work.deadline.saturating_duration_since(now),
             has_others: tried.may_ask_others(tried.attempts),
             waited: now.saturating_duration_since(plan.arrived),
-            owner_wait: plan.work.target_latency,
+            owner_wait: self.owner_wait(plan, tried, now),
         };
         retry::next(failure, rng)
     }
--- a/crates/proxy/src/entry/attempt.rs
+++ b/crates/proxy/src/entry/attempt.rs
@@ -25,7 +25,7 @@
     ) -> Result<Reply<Permit<K, C>>, Refusal> {
         let now = self.parts().clock.now();
         let target = match plan.is_divided {
-            true => self.owner(plan, now)?,
+            true => self.owner(plan, tried, now)?,
             false => self.choose(plan, tried, rng, now)?,
         };
         tried.nodes.push(Arc::clone(&target.node));
@@ -54,12 +54,14 @@
     }
 
     /// The node that owns the request's key.
-    fn owner(&self, plan: &Plan, now: Instant) -> Result<Target, Refusal> {
+    fn owner(&self, plan: &Plan, tried: &mut Tried, now: Instant) -> Result<Target, Refusal> {
         let parts = self.parts();
         let key = plan.work.key.ok_or(Refusal::not_run(Reason::NoKey))?;
         let no_owner = Refusal::not_run(Reason::NoOwner).after(NO_OWNER_RETRY);
         let known = parts.maps.get(&plan.work.service).ok_or(no_owner)?;
-        let owner = known.map.locate(key).owner.as_ref().ok_or(no_owner)?;
+        let assignment = known.map.locate(key);
+        tried.fence = Some(assignment.fence);
+        let owner = assignment.owner.as_ref().ok_or(no_owner)?;
         if owner.node == parts.identity.node {
             return Ok(Target {
                 node: Arc::clone(&owner.node),
--- a/crates/proxy/src/entry/learnt.rs
+++ b/crates/proxy/src/entry/learnt.rs
@@ -3,10 +3,11 @@
 use crate::routes::RouteTable;
 use ibiscove_routing::patience::Patience;
 use ibiscove_routing::retry::RetryBudget;
-use ibiscove_types::ServiceName;
+use ibiscove_routing::stuck::Stuck;
+use ibiscove_types::{Fence, ServiceName};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Retries that each service's requests have earned.
 #[derive(Default)]
@@ -49,6 +50,32 @@
     }
 }
 
+/// Ranges of each service that nobody serves.
+#[derive(Default)]
+pub(super) struct StuckRanges(Mutex<HashMap<ServiceName, Stuck>>);
+
+impl StuckRanges {
+    /// A request has waited in vain for the owner of a range.
+    pub(super) fn note(&self, service: &ServiceName, fence: Fence, now: Instant) {
+        let mut all = lock(&self.0);
+        all.entry(Arc::clone(service)).or_default().note(fence, now);
+    }
+
+    /// The owner of a range has answered.
+    pub(super) fn clear(&self, service: &ServiceName, fence: Fence) {
+        if let Some(stuck) = lock(&self.0).get_mut(service) {
+            stuck.clear(fence);
+        }
+    }
+
+    /// Whether a request should not wait for the owner of a range.
+    pub(super) fn is_stuck(&self, service: &ServiceName, fence: Fence, now: Instant) -> bool {
+        let all = lock(&self.0);
+        all.get(service)
+            .is_some_and(|stuck| stuck.is_stuck(fence, now))
+    }
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     // Each lock is held for one look-up or change, which leaves the state whole
     // even when it panics.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -22,4 +22,5 @@
 pub mod retry;
 pub mod silence;
 pub mod sketch;
+pub mod stuck;
 pub mod usual;
--- /dev/null
+++ b/crates/routing/src/stuck.rs
@@ -0,0 +1,45 @@
+//! Ranges of keys whose owner was not found in time.
+//!
+//! A range that changes owner is unserved for some tens of milliseconds, and a
+//! request waits for that. One whose owner is lost, or cut off in the middle of
+//! a move, is unserved for seconds. The first requests find out by waiting; those
+//! that come after them are refused at once, until the range has a new owner, or
+//! a while has passed and one of them waits again.
+
+use ibiscove_types::Fence;
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+/// How long what one request found out holds for others. Callers that were told
+/// to come back do so within this.
+const HOLDS_FOR: Duration = Duration::from_secs(1);
+
+/// Ranges of one service without a serving owner, by fence: each change of owner
+/// gives a range another one.
+#[derive(Clone, Debug, Default)]
+pub struct Stuck {
+    since: HashMap<Fence, Instant>,
+}
+
+impl Stuck {
+    /// A request has waited in vain for the owner of a range.
+    pub fn note(&mut self, fence: Fence, now: Instant) {
+        self.since.retain(|_, since| is_recent(*since, now));
+        self.since.insert(fence, now);
+    }
+
+    /// The owner of a range has answered.
+    pub fn clear(&mut self, fence: Fence) {
+        self.since.remove(&fence);
+    }
+
+    /// Whether a request should not wait for the owner of a range.
+    pub fn is_stuck(&self, fence: Fence, now: Instant) -> bool {
+        let since = self.since.get(&fence);
+        since.is_some_and(|since| is_recent(*since, now))
+    }
+}
+
+fn is_recent(since: Instant, now: Instant) -> bool {
+    now.saturating_duration_since(since) < HOLDS_FOR
+}
