Late requests no longer give way; the first requests for an unserved range wait on

Requests for a range that nobody serves wait to their deadlines again, until one is late; those that come after it wait for their target only.

--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -259,6 +259,7 @@
             if refusal.outcome != Outcome::NotRun {
                 tried.may_have_run += 1;
             }
+            self.note_stuck(&plan, &refusal, &tried);
             let next = self.next(&plan, &refusal, &tried, &mut rng);
             self.log_attempt(&plan, &refusal, &tried, next);
             match next {
@@ -272,10 +273,7 @@
                     count_retry(Reason::RetryBudget);
                     return Err(self.conclude(&plan, refusal, &tried));
                 }
-                Next::Stop => {
-                    self.note_stuck(&plan, &refusal, &tried);
-                    return Err(self.conclude(&plan, refusal, &tried));
-                }
+                Next::Stop => return Err(self.conclude(&plan, refusal, &tried)),
             }
         }
     }
@@ -296,16 +294,17 @@
         }
     }
 
-    /// How long a request may wait for the owner of its key.
-    fn owner_wait(&self, plan: &Plan, tried: &Tried, now: Instant) -> Duration {
+    /// How long a request may wait for the owner of its key: to its deadline, or
+    /// to its target when others were waiting in vain before it came.
+    fn owner_wait(&self, plan: &Plan, tried: &Tried) -> Duration {
         let service = &plan.work.service;
         let stuck = &self.inner.stuck;
         let is_stuck = tried
             .fence
-            .is_some_and(|fence| stuck.is_stuck(service, fence, now));
+            .is_some_and(|fence| stuck.is_stuck(service, fence, plan.arrived));
         match is_stuck {
-            true => Duration::ZERO,
-            false => plan.work.target_latency,
+            true => plan.work.target_latency,
+            false => Duration::MAX,
         }
     }
 
@@ -336,7 +335,7 @@
             remaining: plan.work.deadline.saturating_duration_since(now),
             has_others: tried.may_ask_others(tried.attempts),
             waited: now.saturating_duration_since(plan.arrived),
-            owner_wait: self.owner_wait(plan, tried, now),
+            owner_wait: self.owner_wait(plan, tried),
         };
         retry::next(failure, rng)
     }
--- a/crates/proxy/src/entry/learnt.rs
+++ b/crates/proxy/src/entry/learnt.rs
@@ -68,11 +68,12 @@
         }
     }
 
-    /// Whether a request should not wait for the owner of a range.
-    pub(super) fn is_stuck(&self, service: &ServiceName, fence: Fence, now: Instant) -> bool {
+    /// Whether a request should not wait for the owner of a range as long as it
+    /// could.
+    pub(super) fn is_stuck(&self, service: &ServiceName, fence: Fence, arrived: Instant) -> bool {
         let all = lock(&self.0);
         all.get(service)
-            .is_some_and(|stuck| stuck.is_stuck(fence, now))
+            .is_some_and(|stuck| stuck.is_stuck(fence, arrived))
     }
 }
 
--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -82,9 +82,6 @@
     calls_ahead: f64,
     /// The upstream is silent and gets one request at a time.
     is_probing: bool,
-    /// Share of the requests that could have met their target, had nobody waited
-    /// before them, and could not any more, newest weighing most; by priority.
-    crowding: BTreeMap<Priority, f64>,
     /// Share of the late that were served lately, by priority; all where none
     /// is noted.
     late_served: BTreeMap<Priority, f64>,
@@ -101,7 +98,6 @@
             next_number: 0,
             calls_ahead: 0.0,
             is_probing: false,
-            crowding: BTreeMap::new(),
             late_served: BTreeMap::new(),
         }
     }
@@ -155,9 +151,8 @@
             false => 1.0,
         };
         let starves = ticket.misses_target && self.late_starve(ask.priority);
-        self.note_crowding(&ask, &ticket, now);
-        let gives_way = ticket.misses_target && (!ask.may_be_late || self.is_crowded(ask.priority));
-        if starves || gives_way || now + wait.mul_f64(caution) + ask.estimate > ask.deadline {
+        let is_elsewhere = ticket.misses_target && !ask.may_be_late;
+        if starves || is_elsewhere || now + wait.mul_f64(caution) + ask.estimate > ask.deadline {
             return Verdict::Refuse {
                 retry_after: self.drained_in(),
             };
@@ -187,20 +182,6 @@
         }
     }
 
-    fn note_crowding(&mut self, ask: &Ask, ticket: &Ticket, now: Instant) {
-        if now + ask.likely <= ask.target {
-            let sample = if ticket.misses_target { 1.0 } else { 0.0 };
-            let crowding = self.crowding.entry(ask.priority).or_default();
-            *crowding += (sample - *crowding) * CROWDING_WEIGHT;
-        }
-    }
-
-    /// Whether fresh requests of a priority or a more urgent one are crowded out.
-    fn is_crowded(&self, priority: Priority) -> bool {
-        let mut urgent = self.crowding.range(..=priority);
-        urgent.any(|(_, crowding)| *crowding > CROWDED)
-    }
-
     /// Whether the late of a priority were mostly passed until it was too late.
     fn late_starve(&mut self, priority: Priority) -> bool {
         let Some(served) = self.late_served.get_mut(&priority) else {
@@ -328,12 +309,6 @@
     }
 }
 
-/// Share of requests that were crowded out from which the late give way. A slot
-/// that a late request takes is one in which a fresh one would have been in
-/// time, and the slots are never idle then.
-const CROWDED: f64 = 0.05;
-/// Weight of one request in that share.
-const CROWDING_WEIGHT: f64 = 0.05;
 /// Share of the late that must have been served lately for more to wait. Under
 /// lasting overload those that meet their targets pass them until it is too
 /// late, and a refusal at once serves their callers better.
--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -88,8 +88,7 @@
         return Next::Stop;
     }
     if !charged && failure.waited >= failure.owner_wait {
-        // An owner is found well within the target unless something is stuck,
-        // and a caller that is told to come back serves itself better.
+        // Others have found out that nobody serves the key for now.
         return Next::Stop;
     }
     let wait = backoff(failure.attempts, MAX_WAIT, rng);
--- a/crates/routing/src/stuck.rs
+++ b/crates/routing/src/stuck.rs
@@ -2,9 +2,10 @@
 //!
 //! A range that changes owner is unserved for some tens of milliseconds, and a
 //! request waits for that. One whose owner is lost, or cut off in the middle of
-//! a move, is unserved for seconds. The first requests find out by waiting; those
-//! that come after them are refused at once, until the range has a new owner, or
-//! a while has passed and one of them waits again.
+//! a move, is unserved for seconds. The first requests find out by waiting to
+//! their deadlines; those that come once these are late are told to come back
+//! sooner, until the range has a new owner, or a while has passed and requests
+//! wait again.
 
 use ibiscove_types::Fence;
 use std::collections::HashMap;
@@ -25,7 +26,7 @@
     /// A request has waited in vain for the owner of a range.
     pub fn note(&mut self, fence: Fence, now: Instant) {
         self.since.retain(|_, since| is_recent(*since, now));
-        self.since.insert(fence, now);
+        self.since.entry(fence).or_insert(now);
     }
 
     /// The owner of a range has answered.
@@ -33,10 +34,11 @@
         self.since.remove(&fence);
     }
 
-    /// Whether a request should not wait for the owner of a range.
-    pub fn is_stuck(&self, fence: Fence, now: Instant) -> bool {
+    /// Whether a request that came at `arrived` should not wait for the owner of
+    /// a range as long as it could.
+    pub fn is_stuck(&self, fence: Fence, arrived: Instant) -> bool {
         let since = self.since.get(&fence);
-        since.is_some_and(|since| is_recent(*since, now))
+        since.is_some_and(|since| *since <= arrived && is_recent(*since, arrived))
     }
 }
 
--- a/crates/routing/tests/admission.rs
+++ b/crates/routing/tests/admission.rs
@@ -165,27 +165,6 @@
     );
 }
 
-/// A crowd of fresh archive pulls: a late deposit still goes before them. Where
-/// fresh deposits are crowded out too, it gives way to those.
-#[test]
-fn the_late_give_way_to_fresh_ones_of_their_priority() {
-    let now = Instant::now();
-    let mut admission = full(4, 100, now);
-    for _ in 0..200 {
-        admission.offer(ask(now, 2, 100, 300, 2_000), || "archive", now);
-    }
-    let late = ask(now, 1, 50, 10, 900);
-    let Verdict::Wait(ticket) = admission.offer(late, || "late deposit", now) else {
-        panic!("archive pulls crowd out a late deposit");
-    };
-    admission.cancel(&ticket);
-    for _ in 0..200 {
-        admission.offer(ask(now, 1, 50, 150, 900), || "deposit", now);
-    }
-    let late = admission.offer(late, || "late deposit", now);
-    assert!(matches!(late, Verdict::Refuse { .. }));
-}
-
 /// A shortage in which calls of running requests alone would fill the upstream:
 /// orders still get half of it, and calls the other half.
 #[test]
