--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -19,6 +19,7 @@
 use smol::future::FutureExt;
 use std::collections::HashMap;
 use std::io;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -124,6 +125,8 @@
     admission: Mutex<Admission<Waiter<K, C>>>,
     times: Mutex<Times>,
     silence: Mutex<Silence>,
+    /// The node is about to end and takes no new work.
+    is_closed: AtomicBool,
 }
 
 /// Usual times at the upstream, in seconds.
@@ -272,6 +275,7 @@
                 admission: Mutex::new(Admission::new(1)),
                 times: Mutex::default(),
                 silence: Mutex::default(),
+                is_closed: AtomicBool::new(false),
             }),
         }
     }
@@ -283,6 +287,11 @@
         }
     }
 
+    /// Takes no new work: the node ends as soon as what runs has ended.
+    pub fn close(&self) {
+        self.inner.is_closed.store(true, Ordering::Release);
+    }
+
     /// What runs and waits, and the usual time.
     pub fn load(&self) -> GateLoad {
         let (load, is_probing) = {
@@ -369,6 +378,9 @@
 
     /// Whether a request may be sent to the upstream now.
     fn admit(&self, work: &Work) -> Result<Present, Reason> {
+        if self.inner.is_closed.load(Ordering::Acquire) {
+            return Err(Reason::Draining);
+        }
         let present = self.inner.beside.present().ok_or(Reason::NoUpstream)?;
         if present.announced.service != work.service {
             return Err(Reason::NotOwner);
--- a/crates/router/src/stop.rs
+++ b/crates/router/src/stop.rs
@@ -45,6 +45,11 @@
             if elapsed() >= turn_away {
                 self.turn_away();
             }
+            if elapsed() >= inner.settings.leave_at_least {
+                // What is still sent here, as to the owner of keys that the table
+                // keeps from moving, could not end before the node does.
+                inner.gate.close();
+            }
             let is_busy = inner.callers.busy() + inner.peer_server.busy() > 0;
             let owns = inner.keeper.get().is_some_and(|keeper| keeper.owns_any());
             if !is_busy && !owns && elapsed() >= inner.settings.leave_at_least {
--- a/crates/router/tests/path.rs
+++ b/crates/router/tests/path.rs
@@ -244,3 +244,25 @@
         assert_eq!(call(&pool, at_other, "/signs/3").await.0, 503);
     });
 }
+
+/// A node that keeps its keys to its end, since nobody can take them: what it
+/// begins late would be cut when it ends.
+#[test]
+fn a_stopping_node_begins_nothing_that_it_cannot_finish() {
+    smol::block_on(async {
+        let table = MemoryPlatform::default();
+        let (deposits, upstream, _) = node(5, "deposits", &table).await;
+        let (_other, _signs, at_other) = node(6, "gallery", &table).await;
+        let pool = Pool::new(PoolSettings::default());
+        assert!(deposits.take_config("7".into()));
+        until_served(&pool, at_other, "/pay/1").await;
+        let stopping = deposits.clone();
+        let stopped = smol::spawn(async move { stopping.leave().await });
+        smol::Timer::after(Duration::from_millis(3_200)).await;
+        let runs = upstream.runs.load(Ordering::SeqCst);
+        let late = smol::spawn(async move { call(&pool, at_other, "/pay/2").await });
+        stopped.await;
+        assert_eq!(upstream.runs.load(Ordering::SeqCst), runs);
+        drop(late);
+    });
+}
--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -146,13 +146,13 @@
         }
         let ticket = self.ticket(&ask, now);
         let wait = self.wait_before(&ticket);
-        let caution = match ticket.misses_target {
-            true => LATE_CAUTION,
-            false => 1.0,
+        let needed = match ticket.misses_target {
+            true => (wait + ask.likely).mul_f64(LATE_CAUTION),
+            false => wait + ask.estimate,
         };
         let starves = ticket.misses_target && self.late_starve(ask.priority);
         let is_elsewhere = ticket.misses_target && !ask.may_be_late;
-        if starves || is_elsewhere || now + wait.mul_f64(caution) + ask.estimate > ask.deadline {
+        if starves || is_elsewhere || now + needed > ask.deadline {
             return Verdict::Refuse {
                 retry_after: self.drained_in(),
             };
@@ -317,8 +317,9 @@
 const LATE_WEIGHT: f64 = 0.1;
 /// What each refusal adds to the share, so that it is tried again.
 const LATE_RECOVERY: f64 = 0.005;
-/// How much longer than estimated a request may wait that misses its target:
-/// those that can meet theirs go on passing it.
+/// How many times its likely time a request must have left that misses its
+/// target. Those that can meet theirs go on passing it, and one that runs close
+/// to its deadline takes the place of a fresh one and may serve nobody.
 const LATE_CAUTION: f64 = 2.0;
 
 /// Share of the usual time below which a request is not worth starting. Half
