--- a/crates/explain/src/lines.rs
+++ b/crates/explain/src/lines.rs
@@ -13,8 +13,6 @@
     /// The process that wrote it: its node's name once that is known, else the
     /// label of its file.
     pub process: String,
-    /// Severity.
-    pub level: String,
     /// What happened.
     pub message: String,
     /// Everything else that the line says.
@@ -144,7 +142,7 @@
         _ => None,
     };
     let message = take("message")?;
-    let level = take("level").unwrap_or_default();
+    take("level");
     let time = take("time");
     if let Some(lines) = object.get("lines").and_then(Value::as_u64)
         && message == DROPPED
@@ -159,7 +157,6 @@
     Some(Line {
         time,
         process: label.to_owned(),
-        level,
         message,
         fields: object,
     })
--- a/crates/node/src/problem.rs
+++ b/crates/node/src/problem.rs
@@ -1,6 +1,7 @@
 //! Refusals, as problem documents (RFC 9457).
 
 use crate::headers;
+use ibiscove_routing::refusals;
 use ibiscove_types::{Outcome, Reason};
 use trillium::{Conn, KnownHeaderName, Status};
 
@@ -55,13 +56,7 @@
 
     /// Counts this refusal.
     pub(crate) fn count(self, role: &'static str) {
-        metrics::counter!(
-            "ibiscove_refusals_total",
-            "role" => role,
-            "reason" => self.reason.as_str(),
-            "outcome" => self.outcome.as_str(),
-        )
-        .increment(1);
+        refusals::counter(role, self.reason, self.outcome).increment(1);
     }
 
     /// The whole answer as bytes, for a connection whose request could not be
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -5,6 +5,7 @@
 //! while nobody asks; `docs/spread.md` weighs the other ways.
 
 use crate::process::Process;
+use futures_util::future::join_all;
 use ibiscove_config::change::ConfigKind;
 use ibiscove_store::{Objects, Table};
 use ibiscove_types::{Clock, Map, NodeRow, NodeState};
@@ -191,24 +192,6 @@
     }
 }
 
-/// Runs futures at the same time; gives their outputs in order.
-async fn join_all<F>(futures: Vec<F>) -> Vec<F::Output>
-where
-    F: Future + Send,
-    F::Output: Send,
-{
-    let executor = smol::Executor::new();
-    let tasks: Vec<_> = futures.into_iter().map(|fut| executor.spawn(fut)).collect();
-    let outputs = async {
-        let mut outputs = Vec::with_capacity(tasks.len());
-        for task in tasks {
-            outputs.push(task.await);
-        }
-        outputs
-    };
-    executor.run(outputs).await
-}
-
 async fn ask<P: Table + Objects, C: Clock>(
     process: &Process<P, C>,
     row: &NodeRow,
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -5,6 +5,7 @@
 //! never happened" from "is not counted". `docs/metrics.md` is the reference.
 
 use crate::{entry, gate};
+use ibiscove_routing::refusals;
 use ibiscove_types::{Outcome, Reason};
 use metrics::{Unit, counter, describe_counter, describe_gauge, describe_histogram};
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
@@ -129,24 +130,17 @@
     let outcomes = [Outcome::NotRun, Outcome::Unknown];
     for role in [entry::ROLE, gate::ROLE] {
         for outcome in outcomes {
-            Reason::ALL.iter().for_each(|r| refusal(role, *r, outcome));
+            let counters = Reason::ALL
+                .iter()
+                .map(|r| refusals::counter(role, *r, outcome));
+            counters.for_each(|counter| counter.increment(0));
         }
     }
     for role in LISTENERS {
         let reasons = LISTENER_REASONS.iter();
-        reasons.for_each(|reason| refusal(role, *reason, Outcome::NotRun));
+        reasons.for_each(|r| refusals::counter(role, *r, Outcome::NotRun).increment(0));
     }
     for reason in Reason::ALL {
         counter!("ibiscove_retries_total", "reason" => reason.as_str()).increment(0);
     }
 }
-
-fn refusal(role: &'static str, reason: Reason, outcome: Outcome) {
-    counter!(
-        "ibiscove_refusals_total",
-        "role" => role,
-        "reason" => reason.as_str(),
-        "outcome" => outcome.as_str(),
-    )
-    .increment(0);
-}
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -14,7 +14,6 @@
 mod heartbeat;
 mod held;
 mod hooks;
-mod join;
 mod lease;
 mod moves;
 mod own_row;
--- a/crates/ownership/src/moves.rs
+++ b/crates/ownership/src/moves.rs
@@ -5,10 +5,10 @@
 //! has been read back neither node serves the slots (invariant 9). A move that
 //! cannot be made is given up, and the owner serves on.
 
-use crate::join::join_all;
 use crate::settle::heir_for;
 use crate::store::{Committed, MAX_ATTEMPTS, to_body};
 use crate::{MoveHooks, Ownership, OwnershipError};
+use futures_util::future::join_all;
 use ibiscove_store::{Table, Transaction};
 use ibiscove_types::rows::node_key;
 use ibiscove_types::{
--- a/crates/ownership/src/takeover.rs
+++ b/crates/ownership/src/takeover.rs
@@ -5,9 +5,9 @@
 //! table answers. Witnesses settle as well, later, in case the heirs are gone.
 
 use crate::evidence::{self, Evidence};
-use crate::join::join_all;
 use crate::settle::{Cause, Settled};
 use crate::{MoveHooks, Ownership};
+use futures_util::future::join_all;
 use ibiscove_spread::Entry;
 use ibiscove_store::Table;
 use ibiscove_types::rows::takeover_key;
--- a/crates/ownership/src/tasks.rs
+++ b/crates/ownership/src/tasks.rs
@@ -1,7 +1,7 @@
 //! The tasks of one node's part in ownership, and its calls to peers.
 
-use crate::join::join_all;
 use crate::{MoveHooks, Ownership, OwnershipError};
+use futures_util::future::join_all;
 use ibiscove_spread::{Entry, SpreadSettings};
 use ibiscove_store::Table;
 use ibiscove_types::rows::{node_key, service_key};
--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -170,24 +170,10 @@
         let arrived = self.parts().clock.now();
         let (head, body) = req.into_parts();
         let answered = match self.plan(&head, arrived) {
-            Ok((route, mut plan_of)) => {
-                let limit = self
-                    .parts()
-                    .config
-                    .get()
-                    .map_or(0, |t| t.limits.max_body_bytes);
-                match self.read_body(body, limit, plan_of.work.deadline).await {
-                    Ok(bytes) => {
-                        plan_of.call.body = bytes;
-                        let id = Arc::clone(&plan_of.work.request_id);
-                        self.see_through(plan_of)
-                            .await
-                            .map_err(|refusal| (refusal, id, Some(route)))
-                    }
-                    Err(refusal) => {
-                        Err((refusal, Arc::clone(&plan_of.work.request_id), Some(route)))
-                    }
-                }
+            Ok(plan) => {
+                let (id, route) = (Arc::clone(&plan.work.request_id), Arc::clone(&plan.route));
+                let served = self.serve(plan, body).await;
+                served.map_err(|refusal| (refusal, id, Some(route)))
             }
             Err(refusal) => {
                 let id = headers::text(&head.headers, &self.parts().names.request_id);
@@ -220,6 +206,13 @@
         &self.inner.parts
     }
 
+    /// Reads the rest of a request and sees it through.
+    async fn serve(&self, mut plan: Plan, body: Incoming) -> Result<Reply<Permit<K, C>>, Refusal> {
+        let reading = self.read_body(body, plan.max_body_bytes, plan.work.deadline);
+        plan.call.body = reading.await?;
+        self.see_through(plan).await
+    }
+
     async fn read_body(
         &self,
         body: Incoming,
@@ -282,12 +275,8 @@
     fn note_stuck(&self, plan: &Plan, refusal: &Refusal, tried: &Tried) {
         let now = self.parts().clock.now();
         let waited = now.saturating_duration_since(plan.arrived);
-        let is_ownerless = matches!(
-            refusal.reason,
-            Reason::Moving | Reason::NotOwner | Reason::NoOwner | Reason::Draining
-        );
         if let Some(fence) = tried.fence
-            && is_ownerless
+            && retry::awaits_owner(refusal.reason)
             && waited >= plan.work.target_latency
         {
             self.inner.stuck.note(&plan.work.service, fence, now);
--- a/crates/proxy/src/entry/plan.rs
+++ b/crates/proxy/src/entry/plan.rs
@@ -23,6 +23,8 @@
     pub(super) is_divided: bool,
     /// Whether a running request makes this call.
     pub(super) is_nested: bool,
+    /// Longest body that the configuration allows.
+    pub(super) max_body_bytes: usize,
     pub(super) arrived: Instant,
 }
 
@@ -32,13 +34,11 @@
         &self,
         head: &hyper::http::request::Parts,
         arrived: Instant,
-    ) -> Result<(Arc<Route>, Plan), Refusal> {
+    ) -> Result<Plan, Refusal> {
         let parts = self.parts();
         let names = &parts.names;
-        let table = parts.config.get().ok_or(Refusal {
-            retry_after: NO_CONFIGURATION_RETRY,
-            ..Refusal::not_run(Reason::NoConfiguration)
-        })?;
+        let unconfigured = Refusal::not_run(Reason::NoConfiguration).after(NO_CONFIGURATION_RETRY);
+        let table = parts.config.get().ok_or(unconfigured)?;
         let target = head.uri.path_and_query().cloned();
         let target = target.unwrap_or_else(|| PathAndQuery::from_static("/"));
         let host = head
@@ -63,8 +63,7 @@
         let mut passed_on = head.headers.clone();
         headers::remove_hop_by_hop(&mut passed_on);
         headers::remove_between_nodes(&mut passed_on);
-        let mut route_headers = passed_on;
-        route_headers.insert(names.request_id.clone(), headers::value(&request_id));
+        passed_on.insert(names.request_id.clone(), headers::value(&request_id));
         let patience = self.inner.callers.note(&route.name, wants);
         let work = Work {
             service: Arc::clone(service),
@@ -86,23 +85,24 @@
         let call = Call {
             method: head.method.clone(),
             target,
-            headers: route_headers,
+            headers: passed_on,
             body: Default::default(),
         };
-        let plan = Plan {
+        Ok(Plan {
             route: Arc::clone(route),
             work,
             call,
             is_divided,
             is_nested: patience.is_nested(),
+            max_body_bytes: table.limits.max_body_bytes,
             arrived,
-        };
-        Ok((Arc::clone(route), plan))
+        })
     }
 }
 
 /// When a caller may return to a node that has no configuration yet.
 const NO_CONFIGURATION_RETRY: Duration = Duration::from_millis(300);
+
 fn key(from: &HeaderMap, names: &HeaderNames, is_divided: bool) -> Result<Option<Key>, Refusal> {
     if !is_divided {
         return Ok(None);
--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -129,10 +129,11 @@
     is_closed: AtomicBool,
 }
 
-/// Usual times at the upstream, in seconds.
+/// Usual times at the upstream.
 #[derive(Default)]
 struct Times {
     by_route: HashMap<Arc<str>, Usual>,
+    /// Of all routes together, in seconds.
     all: Option<f64>,
 }
 
@@ -298,10 +299,12 @@
             let admission = self.inner.admission();
             (admission.load(), admission.is_probing())
         };
-        // A silent upstream has no room, however little is sent to it.
-        let slots = self.inner.beside.present().map_or(1, |p| p.announced.slots);
         let load = match is_probing {
-            true => load.max(2 * slots as usize),
+            // A silent upstream has no room, however little is sent to it.
+            true => {
+                let slots = self.inner.beside.present().map_or(1, |p| p.announced.slots);
+                load.max(2 * slots as usize)
+            }
             false => load,
         };
         let all = self.inner.times().all.unwrap_or(DEFAULT_TIME.as_secs_f64());
@@ -329,8 +332,8 @@
     }
 
     async fn try_run(&self, work: &Work, call: &Call) -> Result<Reply<Permit<K, C>>, Refusal> {
-        self.admit(work).map_err(Refusal::not_run)?;
-        let permit = self.permit(work).await?;
+        let present = self.admit(work).map_err(Refusal::not_run)?;
+        let permit = self.permit(work, present.announced.slots).await?;
         // The wait may have been long enough for the upstream to change.
         let present = self.admit(work).map_err(Refusal::not_run)?;
         let began = self.inner.clock.now();
@@ -402,7 +405,7 @@
     }
 
     /// Waits for a slot of the upstream.
-    async fn permit(&self, work: &Work) -> Result<Permit<K, C>, Refusal> {
+    async fn permit(&self, work: &Work, slots: u32) -> Result<Permit<K, C>, Refusal> {
         let now = self.inner.clock.now();
         let usual = self.usual(work);
         let estimate = usual.mean();
@@ -416,7 +419,6 @@
         };
         let (tx, rx) = smol::channel::bounded(1);
         let waiter = || Waiter { tx, estimate };
-        let slots = self.inner.beside.present().map_or(1, |p| p.announced.slots);
         let verdict = {
             let mut admission = self.inner.admission();
             admission.set_concurrency(slots as usize);
--- a/crates/proxy/src/refusal.rs
+++ b/crates/proxy/src/refusal.rs
@@ -4,6 +4,7 @@
 use hyper::Response;
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use ibiscove_http::Body;
+use ibiscove_routing::refusals;
 use ibiscove_types::{Outcome, Reason};
 use std::time::Duration;
 
@@ -62,13 +63,7 @@
 
     /// Counts this refusal under a role of the node.
     pub fn count(&self, role: &'static str) {
-        metrics::counter!(
-            "ibiscove_refusals_total",
-            "role" => role,
-            "reason" => self.reason.as_str(),
-            "outcome" => self.outcome.as_str(),
-        )
-        .increment(1);
+        refusals::counter(role, self.reason, self.outcome).increment(1);
     }
 
     /// The answer that says so.
--- a/crates/ranges/src/keeper.rs
+++ b/crates/ranges/src/keeper.rs
@@ -5,7 +5,6 @@
 
 mod coordinate;
 mod granting;
-mod join;
 mod leasing;
 mod moving;
 
@@ -259,9 +258,8 @@
 
     /// Version of this node's lease row; 0 while it holds no lease.
     pub fn lease_version(&self) -> RowVersion {
-        let now = self.inner.parts.clock.since_boot();
         let state = self.state();
-        match self.lease_end(&state).is_some_and(|end| now < end) {
+        match self.holds_lease(&state) {
             true => state.lease.version.unwrap_or(0),
             false => 0,
         }
@@ -283,6 +281,11 @@
         state.lease.end(&self.inner.parts.settings.lease)
     }
 
+    fn holds_lease(&self, state: &State) -> bool {
+        let now = self.inner.parts.clock.since_boot();
+        self.lease_end(state).is_some_and(|end| now < end)
+    }
+
     fn owner(&self, state: &State) -> Option<Owner> {
         state.life.clone().map(|life| Owner {
             node: NodeName::clone(&self.inner.parts.node),
--- a/crates/ranges/src/keeper/coordinate.rs
+++ b/crates/ranges/src/keeper/coordinate.rs
@@ -35,9 +35,7 @@
 
     fn is_coordinator(&self) -> bool {
         let state = self.state();
-        let now = self.inner.parts.clock.since_boot();
-        let has_lease = self.lease_end(&state).is_some_and(|end| now < end);
-        if state.is_leaving || state.life.is_none() || !has_lease {
+        if state.is_leaving || state.life.is_none() || !self.holds_lease(&state) {
             return false;
         }
         let has_gathered = state.joined.is_some_and(|joined| {
@@ -160,10 +158,6 @@
     if divided.is_empty() {
         return None;
     }
-    let transfer = |(range, owner)| Transfer {
-        range,
-        to: Some(owner),
-        handover: None,
-    };
+    let transfer = |(range, owner)| Transfer::cold(range, owner);
     Some(divided.into_iter().map(transfer).collect())
 }
--- a/crates/ranges/src/keeper/moving.rs
+++ b/crates/ranges/src/keeper/moving.rs
@@ -3,12 +3,12 @@
 
 use super::Keeper;
 use super::coordinate::owner_of;
-use super::join::join_all;
 use crate::balance::{self, Candidate, Why};
 use crate::grants::{Grantee, ReleaseCall, ReleaseReply};
 use crate::map::{KeyRange, Owner, RangeMap, Transfer};
 use crate::rows;
 use futures_lite::FutureExt;
+use futures_util::future::join_all;
 use ibiscove_mesh::Member;
 use ibiscove_store::{Table, TableError, Transaction};
 use ibiscove_types::{BootClock, Clock, NodeName};
@@ -77,9 +77,10 @@
         let found = self.inner.parts.table.get(&key).or(timeout).await;
         match found {
             Ok(row) => {
-                let map = row.and_then(|row| Some((row.version, rows::read_map(&key, &row).ok()?)));
-                if let Some((version, map)) = map {
-                    self.take_map(version, map);
+                match row.map(|row| (row.version, rows::read_map(&key, &row))) {
+                    Some((version, Ok(map))) => self.take_map(version, map),
+                    Some((_, Err(err))) => log::error!("the map cannot be used: {err}"),
+                    None => {}
                 }
                 true
             }
@@ -116,11 +117,7 @@
 
     /// Takes the ranges of this upstream's earlier life, under new fences.
     async fn adopt(&self, own: &Owner) -> bool {
-        let is_held = {
-            let state = self.state();
-            let now = self.inner.parts.clock.since_boot();
-            self.lease_end(&state).is_some_and(|end| now < end)
-        };
+        let is_held = self.holds_lease(&self.state());
         let Some(known) = self.map().filter(|_| is_held) else {
             return false;
         };
@@ -128,11 +125,7 @@
             let transfers: Vec<_> = map
                 .owned_by_node(&own.node)
                 .filter(|a| a.owner.as_ref() != Some(own))
-                .map(|a| Transfer {
-                    range: a.range,
-                    to: Some(own.clone()),
-                    handover: None,
-                })
+                .map(|a| Transfer::cold(a.range, own.clone()))
                 .collect();
             (!transfers.is_empty()).then_some(transfers)
         };
@@ -169,11 +162,7 @@
             let divided = balance::divide(map, &owned(map), &targets);
             let transfers: Vec<_> = divided
                 .into_iter()
-                .map(|(range, owner)| Transfer {
-                    range,
-                    to: Some(owner),
-                    handover: None,
-                })
+                .map(|(range, owner)| Transfer::cold(range, owner))
                 .collect();
             (!transfers.is_empty()).then_some(transfers)
         };
--- a/crates/ranges/src/map.rs
+++ b/crates/ranges/src/map.rs
@@ -106,6 +106,17 @@
     pub handover: Option<Arc<str>>,
 }
 
+impl Transfer {
+    /// A range that goes to an owner without anything handed over.
+    pub fn cold(range: KeyRange, to: Owner) -> Self {
+        Self {
+            range,
+            to: Some(to),
+            handover: None,
+        }
+    }
+}
+
 /// Why a stored map cannot be used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum MapError {
--- a/crates/ranges/tests/balance.rs
+++ b/crates/ranges/tests/balance.rs
@@ -37,11 +37,7 @@
     let map = RangeMap::unowned();
     let transfers: Vec<_> = divide(&map, &[KeyRange::ALL], &owners)
         .into_iter()
-        .map(|(range, owner)| Transfer {
-            range,
-            to: Some(owner),
-            handover: None,
-        })
+        .map(|(range, owner)| Transfer::cold(range, owner))
         .collect();
     map.with(&transfers)
 }
--- a/crates/ranges/tests/explorer/schedules.rs
+++ b/crates/ranges/tests/explorer/schedules.rs
@@ -64,22 +64,10 @@
         2 => world.at(at, move |w| w.sim.freeze(w.index(node), length)),
         3 => world.at(at, move |w| w.sim.suspend(w.index(node), length)),
         4 => {
-            let down = TableTrouble {
-                is_down: true,
-                ..TableTrouble::default()
-            };
-            world.at(at, move |w| w.table.set(node, down));
+            world.at(at, move |w| w.table.set(node, TableTrouble::DOWN));
             world.at(end, move |w| w.table.set(node, TableTrouble::default()));
         }
-        5 => every_table(
-            world,
-            at,
-            end,
-            TableTrouble {
-                is_down: true,
-                ..TableTrouble::default()
-            },
-        ),
+        5 => every_table(world, at, end, TableTrouble::DOWN),
         6 => every_table(
             world,
             at,
--- a/crates/ranges/tests/explorer/table.rs
+++ b/crates/ranges/tests/explorer/table.rs
@@ -16,6 +16,15 @@
     pub late: f64,
 }
 
+impl TableTrouble {
+    /// Every call is refused.
+    pub const DOWN: Self = Self {
+        is_down: true,
+        lost: 0.0,
+        late: 0.0,
+    };
+}
+
 /// The table as one node sees it.
 #[derive(Clone)]
 pub struct FaultyTable {
--- a/crates/ranges/tests/explorer/traps.rs
+++ b/crates/ranges/tests/explorer/traps.rs
@@ -60,11 +60,7 @@
 /// than the node, so that nothing but its own clock tells it.
 fn suspend(world: &Arc<World>) {
     world.cut(0, true);
-    let down = TableTrouble {
-        is_down: true,
-        ..TableTrouble::default()
-    };
-    world.table.set(0, down);
+    world.table.set(0, TableTrouble::DOWN);
     world.sim.suspend(world.index(0), secs(20));
     world.at(secs(32), |world| {
         world.cut(0, false);
@@ -120,11 +116,7 @@
 fn nothing_is_released_while_the_table_is_away() {
     for seed in 0..20 {
         let world = world(seed);
-        let down = TableTrouble {
-            is_down: true,
-            ..TableTrouble::default()
-        };
-        world.table.set(0, down);
+        world.table.set(0, TableTrouble::DOWN);
         world.at(secs(9), |world| world.endpoints.drain(0));
         world.sim.run_until(secs(12));
         let unheld = world.endpoints.unheld();
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -357,7 +357,8 @@
     u64::try_from(since.as_micros()).unwrap_or(u64::MAX >> 1)
 }
 
-async fn listen(role: &'static str, addr: SocketAddr) -> Result<TcpListener, ListenError> {
+/// Listens for what `role` is for.
+pub async fn listen(role: &'static str, addr: SocketAddr) -> Result<TcpListener, ListenError> {
     let bound = TcpListener::bind(addr).await;
     bound.map_err(|cause| ListenError { role, addr, cause })
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod placement;
 pub mod planner;
 pub mod queue;
+pub mod refusals;
 pub mod retry;
 pub mod silence;
 pub mod sketch;
--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -70,11 +70,7 @@
         };
     }
     let charged = match failure.reason {
-        Reason::NotOwner
-        | Reason::Moving
-        | Reason::NoOwner
-        | Reason::LeaseExpired
-        | Reason::Draining => false,
+        reason if awaits_owner(reason) => false,
         Reason::PeerUnreachable
         | Reason::PeerLost
         | Reason::UpstreamUnreachable
@@ -98,6 +94,18 @@
     Next::Again { wait, charged }
 }
 
+/// Whether a request was refused for want of an owner, which the next map names.
+pub fn awaits_owner(reason: Reason) -> bool {
+    matches!(
+        reason,
+        Reason::NotOwner
+            | Reason::Moving
+            | Reason::NoOwner
+            | Reason::LeaseExpired
+            | Reason::Draining
+    )
+}
+
 /// A wait that doubles with each attempt, the upper half of it by chance so
 /// that callers who failed together do not come back together.
 fn backoff(attempts: u32, max_wait: Duration, rng: &mut fastrand::Rng) -> Duration {
