Gates log the limit that their upstream names and count what they send

A gate reads it, logs each change and counts the requests that it sends. What it reads decides nothing yet.

--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -4,15 +4,17 @@
 //! or refuses the excess, and checks that each response belongs to its request.
 //! A request fails as `not-run` only if the upstream certainly did not run it.
 
+mod exchange;
+
 use crate::forward::RequestMetadata;
-use crate::headers::{self, HeaderNames};
+use crate::headers::HeaderNames;
 use crate::local_upstream::{LocalUpstream, ObservedUpstream};
 use crate::refusal::Refusal;
-use crate::relay::{RelayedResponse, read_response};
+use crate::relay::RelayedResponse;
 use bytes::Bytes;
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method, Request, Uri};
-use ibiscove_http::{Body, Exchange, Pool, SendError};
+use ibiscove_http::{Body, Pool};
 use ibiscove_ranges::controller::{KeyStatus, RangeController};
 use ibiscove_routing::admission::{
     AdmissionController, AdmissionDecision, AdmissionRequest, Dequeued, Ticket,
@@ -24,7 +26,6 @@
 use smol::channel::{Receiver, Sender};
 use smol::future::FutureExt;
 use std::collections::HashMap;
-use std::io;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
@@ -381,9 +382,13 @@
             false => self.inner.settings.max_idle_non_idempotent,
         };
         let addr = self.inner.local_upstream.addr();
+        metrics::counter!("ibiscove_upstream_requests_total").increment(1);
         let exchange = async {
             match self.inner.pool.send(addr, req, max_idle).await {
-                Ok(exchange) => self.verify_response(metadata, exchange, permit).await,
+                Ok(exchange) => {
+                    self.record_notice(metadata, &upstream, &exchange, started);
+                    self.verify_response(metadata, exchange, permit).await
+                }
                 Err(err) => Err(self.send_refusal(metadata, &upstream, &err)),
             }
         };
@@ -502,89 +507,6 @@
         })
     }
 
-    fn upstream_headers(
-        &self,
-        metadata: &RequestMetadata,
-        outbound: &OutboundRequest,
-        upstream: &ObservedUpstream,
-        remaining: Duration,
-    ) -> HeaderMap {
-        let names = &self.inner.names;
-        let mut to = outbound.headers.clone();
-        headers::remove_internode(&mut to);
-        let remaining_ms = remaining.as_millis().max(1).to_string();
-        to.insert(names.deadline_ms.clone(), headers::value(&remaining_ms));
-        let id = &upstream.announcement.incarnation.id;
-        to.insert(names.expected_upstream.clone(), headers::value(id));
-        match &metadata.caller_service {
-            Some(service) => {
-                to.insert(names.caller_service.clone(), headers::value(service));
-            }
-            None => {
-                to.remove(&names.caller_service);
-            }
-        }
-        to
-    }
-
-    /// Checks that a response belongs to this request and is the upstream's own.
-    async fn verify_response(
-        &self,
-        metadata: &RequestMetadata,
-        exchange: Exchange,
-        permit: Permit<K, C>,
-    ) -> Result<RelayedResponse<Permit<K, C>>, Refusal> {
-        let names = &self.inner.names;
-        let from = exchange.response.headers();
-        if from.contains_key(&names.not_executed) || exchange.response.status() == 421 {
-            let status = exchange.response.status().as_u16();
-            log::info!(request = &*metadata.request_id, status; "upstream did not run the request");
-            return Err(Refusal::not_run(Reason::UpstreamRefused));
-        }
-        let echoes = headers::text(from, &names.request_id) == Some(&*metadata.request_id);
-        let is_success = exchange.response.status().is_success();
-        let is_proven = names
-            .proof
-            .as_ref()
-            .is_none_or(|proof| from.contains_key(proof));
-        if !echoes || (is_success && !is_proven) {
-            log::warn!(request = &*metadata.request_id, echoes, is_proven;
-                "an answer of the upstream is not that of its request");
-            return Err(Refusal::unknown(Reason::UpstreamLost));
-        }
-        let mut response = read_response(exchange, Some(permit)).await.map_err(|err| {
-            log::info!(request = &*metadata.request_id; "the upstream's answer broke off: {err}");
-            Refusal::unknown(Reason::UpstreamLost)
-        })?;
-        headers::remove_hop_by_hop(response.headers_mut());
-        Ok(response)
-    }
-
-    fn send_refusal(
-        &self,
-        metadata: &RequestMetadata,
-        upstream: &ObservedUpstream,
-        err: &SendError,
-    ) -> Refusal {
-        log::info!(request = &*metadata.request_id,
-            upstream = &*upstream.announcement.incarnation.id;
-            "the upstream gave no answer: {err}");
-        if let SendError::Connect { cause, .. } = err
-            && cause.kind() == io::ErrorKind::ConnectionRefused
-            && self
-                .inner
-                .local_upstream
-                .record_connection_refused(&upstream.announcement.incarnation)
-            && let Some(keys) = self.inner.key_ownership.get()
-        {
-            keys.record_upstream_ended();
-        }
-        match err.is_unsent() {
-            true => Refusal::not_run(Reason::UpstreamUnreachable),
-            false => Refusal::unknown(Reason::UpstreamLost),
-        }
-    }
-
     fn remaining(&self, metadata: &RequestMetadata) -> Duration {
         metadata
             .deadline
--- /dev/null
+++ b/crates/proxy/src/gate/exchange.rs
@@ -0,0 +1,130 @@
+//! The exchange of a request and its response with the upstream: the headers that
+//! it gets, and what its response proves.
+
+use super::{Gate, KeyOwnership, OutboundRequest, Permit};
+use crate::forward::RequestMetadata;
+use crate::headers::{self, HeaderNames};
+use crate::local_upstream::ObservedUpstream;
+use crate::refusal::Refusal;
+use crate::relay::{RelayedResponse, read_response};
+use crate::upstream_notice::UpstreamNotice;
+use hyper::{HeaderMap, StatusCode};
+use ibiscove_http::{Exchange, SendError};
+use ibiscove_types::{Clock, Reason};
+use std::io;
+use std::time::{Duration, Instant};
+
+impl<K: KeyOwnership, C: Clock> Gate<K, C> {
+    pub(super) fn upstream_headers(
+        &self,
+        metadata: &RequestMetadata,
+        outbound: &OutboundRequest,
+        upstream: &ObservedUpstream,
+        remaining: Duration,
+    ) -> HeaderMap {
+        let names = &self.inner.names;
+        let mut to = outbound.headers.clone();
+        headers::remove_internode(&mut to);
+        let remaining_ms = remaining.as_millis().max(1).to_string();
+        to.insert(names.deadline_ms.clone(), headers::value(&remaining_ms));
+        let id = &upstream.announcement.incarnation.id;
+        to.insert(names.expected_upstream.clone(), headers::value(id));
+        match &metadata.caller_service {
+            Some(service) => {
+                to.insert(names.caller_service.clone(), headers::value(service));
+            }
+            None => {
+                to.remove(&names.caller_service);
+            }
+        }
+        to
+    }
+
+    /// Applies what an answer says about the upstream. An answer that is not that of
+    /// the request, or comes from another upstream at the address, says nothing.
+    pub(super) fn record_notice(
+        &self,
+        metadata: &RequestMetadata,
+        upstream: &ObservedUpstream,
+        exchange: &Exchange,
+        sent_at: Instant,
+    ) {
+        let names = &self.inner.names;
+        let from = exchange.response.headers();
+        if !echoes_request(metadata, from, names)
+            || exchange.response.status() == StatusCode::MISDIRECTED_REQUEST
+        {
+            return;
+        }
+        self.inner.local_upstream.record_notice(
+            &upstream.announcement.incarnation,
+            UpstreamNotice::read(from, names),
+            sent_at,
+            self.inner.clock.now(),
+        );
+    }
+
+    /// Checks that a response belongs to this request and is the upstream's own.
+    pub(super) async fn verify_response(
+        &self,
+        metadata: &RequestMetadata,
+        exchange: Exchange,
+        permit: Permit<K, C>,
+    ) -> Result<RelayedResponse<Permit<K, C>>, Refusal> {
+        let names = &self.inner.names;
+        let from = exchange.response.headers();
+        if from.contains_key(&names.not_executed)
+            || exchange.response.status() == StatusCode::MISDIRECTED_REQUEST
+        {
+            let status = exchange.response.status().as_u16();
+            log::info!(request = &*metadata.request_id, status; "upstream did not run the request");
+            return Err(Refusal::not_run(Reason::UpstreamRefused));
+        }
+        let echoes = echoes_request(metadata, from, names);
+        let is_success = exchange.response.status().is_success();
+        let is_proven = names
+            .proof
+            .as_ref()
+            .is_none_or(|proof| from.contains_key(proof));
+        if !echoes || (is_success && !is_proven) {
+            log::warn!(request = &*metadata.request_id, echoes, is_proven;
+                "an answer of the upstream is not that of its request");
+            return Err(Refusal::unknown(Reason::UpstreamLost));
+        }
+        let mut response = read_response(exchange, Some(permit)).await.map_err(|err| {
+            log::info!(request = &*metadata.request_id; "the upstream's answer broke off: {err}");
+            Refusal::unknown(Reason::UpstreamLost)
+        })?;
+        headers::remove_hop_by_hop(response.headers_mut());
+        Ok(response)
+    }
+
+    pub(super) fn send_refusal(
+        &self,
+        metadata: &RequestMetadata,
+        upstream: &ObservedUpstream,
+        err: &SendError,
+    ) -> Refusal {
+        log::info!(request = &*metadata.request_id,
+            upstream = &*upstream.announcement.incarnation.id;
+            "the upstream gave no answer: {err}");
+        if let SendError::Connect { cause, .. } = err
+            && cause.kind() == io::ErrorKind::ConnectionRefused
+            && self
+                .inner
+                .local_upstream
+                .record_connection_refused(&upstream.announcement.incarnation)
+            && let Some(keys) = self.inner.key_ownership.get()
+        {
+            keys.record_upstream_ended();
+        }
+        match err.is_unsent() {
+            true => Refusal::not_run(Reason::UpstreamUnreachable),
+            false => Refusal::unknown(Reason::UpstreamLost),
+        }
+    }
+}
+
+fn echoes_request(metadata: &RequestMetadata, from: &HeaderMap, names: &HeaderNames) -> bool {
+    headers::text(from, &names.request_id) == Some(&*metadata.request_id)
+}
--- a/crates/proxy/src/headers.rs
+++ b/crates/proxy/src/headers.rs
@@ -34,6 +34,10 @@
     /// From the upstream: proof that it produced the response; none where
     /// upstreams send no proof.
     pub proof: Option<HeaderName>,
+    /// From the upstream: requests a second that it takes from all nodes together.
+    pub max_rate: HeaderName,
+    /// From the upstream: `1` if it is leaving.
+    pub leaving: HeaderName,
 }
 
 impl Default for HeaderNames {
@@ -46,6 +50,8 @@
             expected_upstream: HeaderName::from_static("ibiscove-expect-upstream"),
             not_executed: HeaderName::from_static("ibiscove-not-run"),
             proof: None,
+            max_rate: HeaderName::from_static("ibiscove-max-rate"),
+            leaving: HeaderName::from_static("ibiscove-leaving"),
         }
     }
 }
--- a/crates/proxy/src/local_upstream.rs
+++ b/crates/proxy/src/local_upstream.rs
@@ -6,6 +6,7 @@
 //! as gone when its address refuses connections, or when neither announcements
 //! nor responses of it arrive.
 
+use crate::upstream_notice::{MaxRateNotice, UpstreamNotice};
 use event_listener::Event;
 use ibiscove_types::{ServiceName, UpstreamIncarnation};
 use std::net::SocketAddr;
@@ -61,6 +62,17 @@
     pub received_at: Instant,
     /// Since when it has been draining.
     pub draining_since: Option<Instant>,
+    /// The limit that its answers name.
+    pub rate_limit: Option<RateLimit>,
+}
+
+/// A limit that an upstream names in its answers.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RateLimit {
+    /// Requests a second.
+    pub max_rate: f64,
+    /// When an answer named it last.
+    pub named_at: Instant,
 }
 
 /// How an announcement changed the observed state.
@@ -158,10 +170,17 @@
                 "upstream announced itself"
             );
         }
+        let rate_limit = match &state.current {
+            Some(current) if current.announcement.incarnation == announcement.incarnation => {
+                current.rate_limit
+            }
+            _ => None,
+        };
         state.current = Some(ObservedUpstream {
             announcement,
             received_at: now,
             draining_since,
+            rate_limit,
         });
         drop(state);
         if effect == AnnouncementEffect::Changed {
@@ -188,6 +207,52 @@
         self.inner.changed.notify(usize::MAX);
     }
 
+    /// Applies the notice in an answer of an upstream to a request that was sent at
+    /// `sent_at`. An answer lifts a limit only if its request was sent after the
+    /// limit had last been named, since answers overtake one another.
+    pub fn record_notice(
+        &self,
+        incarnation: &UpstreamIncarnation,
+        notice: UpstreamNotice,
+        sent_at: Instant,
+        now: Instant,
+    ) {
+        let mut state = self.lock();
+        let Some(current) = state
+            .current
+            .as_mut()
+            .filter(|current| current.announcement.incarnation == *incarnation)
+        else {
+            return;
+        };
+        let earlier = current.rate_limit;
+        match notice.max_rate {
+            MaxRateNotice::Limited(max_rate) => {
+                current.rate_limit = Some(RateLimit {
+                    max_rate,
+                    named_at: now,
+                });
+            }
+            MaxRateNotice::Unlimited => {
+                current.rate_limit = earlier.filter(|limit| sent_at <= limit.named_at);
+            }
+            MaxRateNotice::Malformed => {
+                metrics::counter!("ibiscove_upstream_limits_malformed_total").increment(1);
+                log::warn!(upstream = &*incarnation.id;
+                    "an answer names a limit that is not a decimal number of at least 0; \
+                     the limit stays as it was");
+            }
+        }
+        let max_rate = current.rate_limit.map(|limit| limit.max_rate);
+        drop(state);
+        if max_rate != earlier.map(|limit| limit.max_rate) {
+            metrics::gauge!("ibiscove_upstream_limit").set(max_rate.unwrap_or(f64::INFINITY));
+            let max_rate = max_rate.map_or("none".to_owned(), |rate| rate.to_string());
+            log::info!(upstream = &*incarnation.id, max_rate = &*max_rate;
+                "the limit of the upstream has changed");
+        }
+    }
+
     /// Records that the upstream responded to a request.
     pub fn record_response(&self, now: Instant) {
         self.lock().last_response = Some(now);
