--- /dev/null
+++ b/crates/router/tests/support/mod.rs
@@ -0,0 +1,195 @@
+//! Nodes on loopback with an upstream each, an in-memory table and callers.
+
+use hyper::body::Incoming;
+use hyper::header::HeaderName;
+use hyper::{HeaderMap, Method, Request, Response};
+use ibiscove_http::body::read_whole;
+use ibiscove_http::{Body, Exchange, Pool, Server, ServerSettings};
+use ibiscove_proxy::routes::{CallerLimits, RequestKind, Route, RouteTable, Service, Share};
+use ibiscove_proxy::{Announcement, HeaderNames};
+use ibiscove_ranges::{GrantCall, GrantReply, Grantee, HoldReport, ReleaseCall, ReleaseReply};
+use ibiscove_router::{Router, RouterAddrs, RouterSettings};
+use ibiscove_store::MemoryPlatform;
+use ibiscove_types::{ServiceName, SystemClock, UpstreamIncarnation};
+use smol::net::TcpListener;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// An upstream that accepts all grants and counts grants and requests.
+#[derive(Clone, Default)]
+pub struct CountingUpstream {
+    pub runs: Arc<AtomicU32>,
+    pub grants: Arc<AtomicU32>,
+    /// Headers of its answers, by which it gives notice of its state.
+    pub notice: Arc<Mutex<HeaderMap>>,
+}
+
+impl Grantee for CountingUpstream {
+    async fn grant(&self, _call: GrantCall) -> GrantReply {
+        self.grants.fetch_add(1, Ordering::SeqCst);
+        GrantReply::Granted
+    }
+
+    async fn release(&self, _call: ReleaseCall) -> ReleaseReply {
+        ReleaseReply::Released { handover: None }
+    }
+}
+
+impl CountingUpstream {
+    async fn serve(&self) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("loopback has free ports");
+        let addr = listener.local_addr().expect("the listener is bound");
+        let runs = Arc::clone(&self.runs);
+        let notice = Arc::clone(&self.notice);
+        let handle = move |req: Request<Incoming>| {
+            runs.fetch_add(1, Ordering::SeqCst);
+            let notice = notice.lock().expect("no holder panics").clone();
+            async move {
+                let names = HeaderNames::default();
+                let mut response = Response::new(Body::<()>::whole("done"));
+                response.headers_mut().extend(notice);
+                if let Some(id) = req.headers().get(&names.request_id) {
+                    response.headers_mut().insert(names.request_id, id.clone());
+                }
+                response
+            }
+        };
+        smol::spawn(Server::default().run(listener, ServerSettings::default(), handle)).detach();
+        addr
+    }
+}
+
+fn parse_config(text: &[u8]) -> Result<RouteTable, String> {
+    let version = String::from_utf8_lossy(text)
+        .parse()
+        .map_err(|_| "not a number".to_owned())?;
+    let route = |name: &str, service: &str| Route {
+        name: name.into(),
+        host: "a.example".into(),
+        prefix: format!("/{name}/"),
+        kind: RequestKind::Idempotent,
+        timeout: Duration::from_millis(500),
+        target_latency: Duration::from_secs(1),
+        max_attempts: 2,
+        priority: 1,
+        shares: vec![Share {
+            service: service.into(),
+            weight: 1,
+        }],
+    };
+    let divided = Service {
+        is_divided: true,
+        ..Service::default()
+    };
+    let services: HashMap<_, _> = [
+        ("gallery".into(), Service::default()),
+        ("deposits".into(), divided),
+    ]
+    .into();
+    let routes = vec![route("signs", "gallery"), route("pay", "deposits")];
+    RouteTable::new(version, routes, services, CallerLimits::default()).map_err(|e| e.to_string())
+}
+
+pub type TestRouter = Router<MemoryPlatform, CountingUpstream, SystemClock>;
+
+/// Returns a loopback address that only one node uses, for TCP and UDP.
+fn addr(node: u8, port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 77, node], port))
+}
+
+pub async fn start_node(
+    number: u8,
+    service: &str,
+    table: &MemoryPlatform,
+) -> (TestRouter, CountingUpstream, SocketAddr) {
+    let upstream = CountingUpstream::default();
+    let upstream_addr = upstream.serve().await;
+    let settings = RouterSettings {
+        node: format!("node-{number}").into(),
+        service: Some(service.into()),
+        addrs: RouterAddrs {
+            callers: addr(number, 7_400),
+            peers: addr(number, 7_401),
+            heartbeats: addr(number, 7_401),
+            upstream: upstream_addr,
+            metrics: None,
+        },
+        ..RouterSettings::default()
+    };
+    let callers = settings.addrs.callers;
+    let names = HeaderNames::default();
+    let result = Router::start(
+        settings,
+        names,
+        table.clone(),
+        upstream.clone(),
+        SystemClock,
+        parse_config,
+    )
+    .await;
+    let router = result.expect("the addresses are free");
+    let announcing = router.clone();
+    let service: ServiceName = service.into();
+    smol::spawn(async move {
+        for sequence in 1.. {
+            announcing.apply_announcement(
+                announcement(number, &service, sequence),
+                &HoldReport::default(),
+            );
+            smol::Timer::after(Duration::from_millis(400)).await;
+        }
+    })
+    .detach();
+    (router, upstream, callers)
+}
+
+fn announcement(number: u8, service: &ServiceName, sequence: u64) -> Announcement {
+    Announcement {
+        incarnation: UpstreamIncarnation {
+            id: format!("upstream-{number}").into(),
+            born_ms: 1,
+        },
+        service: Arc::clone(service),
+        concurrency: 4,
+        draining: false,
+        warm_up_remaining: Duration::ZERO,
+        sequence,
+    }
+}
+
+pub async fn send_request(pool: &Pool, addr: SocketAddr, path: &str) -> (u16, String) {
+    let mut headers = HeaderMap::new();
+    for (name, value) in [("host", "a.example"), ("ibiscove-key", "17")] {
+        headers.insert(
+            HeaderName::from_static(name),
+            value.parse().expect("the header value is valid"),
+        );
+    }
+    let mut req = Request::new(Body::whole(""));
+    *req.method_mut() = Method::GET;
+    *req.uri_mut() = path.parse().expect("the path is valid");
+    *req.headers_mut() = headers;
+    let sent = pool.send(addr, req, Duration::from_secs(1)).await;
+    let Exchange { response, .. } = sent.expect("the node responds");
+    let status = response.status().as_u16();
+    let body = read_whole(response.into_body(), 1 << 20)
+        .await
+        .expect("the response is complete");
+    (status, String::from_utf8_lossy(&body).into_owned())
+}
+
+pub async fn wait_until_served(pool: &Pool, addr: SocketAddr, path: &str) {
+    // Fifty times the duration on an idle machine.
+    for _ in 0..200 {
+        if send_request(pool, addr, path).await.0 == 200 {
+            return;
+        }
+        smol::Timer::after(Duration::from_millis(50)).await;
+    }
+    panic!("{path} was not served");
+}
