Gates keep to the rate that their upstream names

Cause: a gate limits how many requests run at a time, not how many start in a second, and relays the header that names the limit without reading it.

All requests to an upstream pass its one gate, so nothing has to be shared. Waiting times and retry delays follow the rate; requests that can't run in time are refused at once as before.

--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -12,6 +12,7 @@
 use crate::refusal::Refusal;
 use crate::relay::RelayedResponse;
 use bytes::Bytes;
+use event_listener::Event;
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method, Request, Uri};
 use ibiscove_http::{Body, Pool};
@@ -134,6 +135,8 @@
     admission: Mutex<AdmissionController<Waiter<K, C>>>,
     latencies: Mutex<Latencies>,
     hang_detector: Mutex<HangDetector>,
+    /// Notified when a queued request may have to wait for the upstream's limit.
+    pacing_due: Event,
     /// Whether the gate refuses all new requests, because the node is about to
     /// exit.
     is_closed: AtomicBool,
@@ -166,6 +169,8 @@
         // was abandoned meanwhile is dropped, which re-enters this function.
         let dequeued = self.gate.admission().finish(self.estimate, Instant::now());
         Inner::notify(&self.gate, dequeued);
+        // The freed slot may be one for which the next request must be paced.
+        self.gate.pacing_due.notify(1);
     }
 }
 
@@ -212,6 +217,13 @@
         Self::notify(self, refused);
     }
 
+    /// Applies the limit that the upstream names to its admission.
+    fn apply_rate_limit(self: &Arc<Self>, upstream: &ObservedUpstream, now: Instant) {
+        let max_rate = upstream.rate_limit.map(|limit| limit.max_rate);
+        let dequeued = self.admission().set_max_rate(max_rate, now);
+        Self::notify(self, dequeued);
+    }
+
     /// Delivers permits and refusals to dequeued requests.
     fn notify(gate: &Arc<Self>, dequeued: Vec<Dequeued<Waiter<K, C>>>) {
         for request in dequeued {
@@ -291,6 +303,7 @@
                 admission: Mutex::new(AdmissionController::new(1)),
                 latencies: Mutex::default(),
                 hang_detector: Mutex::default(),
+                pacing_due: Event::new(),
                 is_closed: AtomicBool::new(false),
             }),
         }
@@ -309,6 +322,25 @@
         self.inner.is_closed.store(true, Ordering::Release);
     }
 
+    /// Starts queued requests as the limit of the upstream allows it, until the task
+    /// is dropped. Requests that wait for a slot only are started by the one that
+    /// frees it.
+    pub async fn run_pacing(self) {
+        let inner = &self.inner;
+        loop {
+            let due = inner.pacing_due.listen();
+            let delay = inner.admission().pacing_delay(inner.clock.now());
+            match delay {
+                None => due.await,
+                Some(delay) => {
+                    inner.clock.sleep(delay).await;
+                    let dequeued = inner.admission().dequeue(inner.clock.now());
+                    Inner::notify(inner, dequeued);
+                }
+            }
+        }
+    }
+
     /// Returns the gate's load.
     pub fn load(&self) -> GateLoad {
         let (load, is_probing) = {
@@ -366,9 +398,7 @@
         outbound: &OutboundRequest,
     ) -> Result<RelayedResponse<Permit<K, C>>, Refusal> {
         let upstream = self.check_admission(metadata).map_err(Refusal::not_run)?;
-        let permit = self
-            .acquire_permit(metadata, upstream.announcement.concurrency)
-            .await?;
+        let permit = self.acquire_permit(metadata, &upstream).await?;
         // The state may have changed while the request was queued.
         let upstream = self.check_admission(metadata).map_err(Refusal::not_run)?;
         let started = self.inner.clock.now();
@@ -456,9 +486,10 @@
     async fn acquire_permit(
         &self,
         metadata: &RequestMetadata,
-        concurrency: u32,
+        upstream: &ObservedUpstream,
     ) -> Result<Permit<K, C>, Refusal> {
         let now = self.inner.clock.now();
+        self.inner.apply_rate_limit(upstream, now);
         let latency = self.latency_estimate(metadata);
         let estimate = latency.mean();
         let request = AdmissionRequest {
@@ -473,7 +504,7 @@
         let waiter = || Waiter { tx, estimate };
         let decision = {
             let mut admission = self.inner.admission();
-            admission.set_concurrency(concurrency as usize);
+            admission.set_concurrency(upstream.announcement.concurrency as usize);
             admission.offer(request, waiter, now)
         };
         let ticket = match decision {
@@ -488,6 +519,7 @@
                 return Err(Refusal::not_run(Reason::Overloaded).with_retry_after(retry_after));
             }
         };
+        self.inner.pacing_due.notify(1);
         let queued = QueueGuard {
             gate: Arc::clone(&self.inner),
             ticket,
--- a/crates/proxy/src/gate/exchange.rs
+++ b/crates/proxy/src/gate/exchange.rs
@@ -56,12 +56,14 @@
         {
             return;
         }
-        self.inner.local_upstream.record_notice(
-            &upstream.announcement.incarnation,
-            UpstreamNotice::read(from, names),
-            sent_at,
-            self.inner.clock.now(),
-        );
+        let local_upstream = &self.inner.local_upstream;
+        let notice = UpstreamNotice::read(from, names);
+        let now = self.inner.clock.now();
+        local_upstream.record_notice(&upstream.announcement.incarnation, notice, sent_at, now);
+        if let Some(current) = local_upstream.current() {
+            self.inner.apply_rate_limit(&current, now);
+            self.inner.pacing_due.notify(1);
+        }
     }
 
     /// Checks that a response belongs to this request and is the upstream's own.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -254,6 +254,7 @@
             move |member, is_new, news| router.handle_heartbeat(member, is_new, news),
         ))
         .detach();
+        smol::spawn(inner.gate.clone().run_pacing()).detach();
         smol::spawn(self.clone().join(addresses)).detach();
         smol::spawn(self.clone().run_maintenance()).detach();
     }
--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -8,6 +8,7 @@
 //! is ordered by priority, then requests that can still meet their latency
 //! target before late requests, which cannot, then by earliest target.
 
+use crate::pacing::Pacer;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -86,6 +87,10 @@
     nested_surplus: f64,
     /// The upstream is unresponsive and gets one request at a time.
     is_probing: bool,
+    /// Spaces the starts of requests while the upstream names a limit.
+    pacer: Option<Pacer>,
+    /// Moving average of the estimates of all requests, in seconds.
+    mean_estimate: Option<f64>,
     /// Moving average of the share of late requests that ran, by priority; 1 where
     /// there is no entry.
     late_run_share: BTreeMap<Priority, f64>,
@@ -123,6 +128,8 @@
             next_sequence: 0,
             nested_surplus: 0.0,
             is_probing: false,
+            pacer: None,
+            mean_estimate: None,
             late_run_share: BTreeMap::new(),
             arrivals: BTreeMap::new(),
         }
@@ -149,6 +156,36 @@
             .collect()
     }
 
+    /// Sets the rate that the upstream takes, in requests a second; none without a
+    /// limit. Returns the queued requests that may start without one.
+    pub fn set_max_rate(&mut self, max_rate: Option<f64>, now: Instant) -> Vec<Dequeued<T>> {
+        match (max_rate, &mut self.pacer) {
+            (Some(rate), Some(pacer)) => pacer.set_rate(rate),
+            (Some(rate), None) => self.pacer = Some(Pacer::new(rate, now)),
+            (None, None) => return Vec::new(),
+            (None, Some(_)) => self.pacer = None,
+        }
+        self.dequeue(now)
+    }
+
+    /// Returns the time after which [`Self::dequeue`] starts a queued request; none
+    /// unless the limit of the upstream is what it waits for.
+    pub fn pacing_delay(&self, now: Instant) -> Option<Duration> {
+        let has_free_slot = self.running < self.concurrency && !self.waiting.is_empty();
+        let pacer = self.pacer.as_ref().filter(|_| has_free_slot)?;
+        Some(pacer.delay(now))
+    }
+
+    /// Returns the number of requests that the upstream runs at a time at most: its
+    /// slots, or fewer if its limit cannot keep them busy.
+    pub fn capacity(&self) -> f64 {
+        let slots = self.concurrency as f64;
+        match (&self.pacer, self.mean_estimate) {
+            (Some(pacer), Some(estimate)) => slots.min(pacer.rate() * estimate).max(MIN_CAPACITY),
+            _ => slots,
+        }
+    }
+
     /// Returns whether the upstream gets only one request at a time.
     pub fn is_probing(&self) -> bool {
         self.is_probing
@@ -172,14 +209,14 @@
                 retry_after: self.drain_time(),
             };
         }
-        if self.running < self.concurrency && self.waiting.is_empty() {
+        if self.running < self.concurrency && self.waiting.is_empty() && self.is_paced(now) {
             // A free slot is always used, whatever the estimate: a wrong estimate is
             // only corrected by running requests.
-            self.start(&req);
+            self.start(&req, now);
             return AdmissionDecision::Run;
         }
         let ticket = self.ticket_for(&req, now);
-        let wait = self.expected_wait(&ticket);
+        let wait = self.expected_wait(&ticket, now);
         let required = match ticket.misses_target {
             true => (wait + req.upper_estimate).mul_f64(LATE_DEADLINE_FACTOR),
             false => wait + req.estimate,
@@ -239,8 +276,14 @@
     pub fn finish(&mut self, estimate: Duration, now: Instant) -> Vec<Dequeued<T>> {
         self.running = self.running.saturating_sub(1);
         self.running_work = self.running_work.saturating_sub(estimate);
+        self.dequeue(now)
+    }
+
+    /// Starts queued requests while slots are free and the limit allows it; returns
+    /// the requests that leave the queue.
+    pub fn dequeue(&mut self, now: Instant) -> Vec<Dequeued<T>> {
         let mut dequeued = Vec::new();
-        while self.running < self.concurrency {
+        while self.running < self.concurrency && self.is_paced(now) {
             let Some((ticket, (req, item))) = self.pop_next() else {
                 break;
             };
@@ -259,7 +302,7 @@
                 continue;
             }
             self.record_nested_share(&req);
-            self.start(&req);
+            self.start(&req, now);
             dequeued.push(Dequeued::Run(item));
         }
         let mut all = self.refuse_hopeless(now);
@@ -308,12 +351,15 @@
         };
         let rate = self.arrivals.entry(req.priority).or_insert(none);
         rate.add(req.estimate, now);
+        let estimate = req.estimate.as_secs_f64();
+        let mean = self.mean_estimate.get_or_insert(estimate);
+        *mean += (estimate - *mean) * ESTIMATE_SAMPLE_WEIGHT;
     }
 
     /// Returns the share of the slots that more urgent requests take at the rate at
     /// which they arrive.
     fn urgent_share(&self, priority: Priority, now: Instant) -> f64 {
-        let concurrency = self.concurrency as f64;
+        let concurrency = self.capacity();
         let more_urgent = self.arrivals.range(..priority);
         let shares = more_urgent.map(|(urgent, rate)| {
             let share = rate.at(now) / concurrency;
@@ -367,7 +413,15 @@
         self.per_slot(waiting + self.running_work / 2)
     }
 
-    fn start(&mut self, req: &AdmissionRequest) {
+    /// Returns whether the limit of the upstream allows a request to start.
+    fn is_paced(&self, now: Instant) -> bool {
+        self.pacer.is_none_or(|pacer| pacer.delay(now).is_zero())
+    }
+
+    fn start(&mut self, req: &AdmissionRequest, now: Instant) {
+        if let Some(pacer) = &mut self.pacer {
+            pacer.record_start(now);
+        }
         self.running += 1;
         self.running_work += req.estimate;
     }
@@ -379,7 +433,7 @@
             target: req.target,
             sequence: self.next_sequence,
         };
-        let expected_end = now + self.expected_wait(&ticket) + req.upper_estimate;
+        let expected_end = now + self.expected_wait(&ticket, now) + req.upper_estimate;
         Ticket {
             misses_target: expected_end > req.target,
             ..ticket
@@ -387,7 +441,7 @@
     }
 
     /// Returns how long a request with this ticket would wait.
-    fn expected_wait(&self, ticket: &Ticket) -> Duration {
+    fn expected_wait(&self, ticket: &Ticket, now: Instant) -> Duration {
         let is_nested = ticket.priority == NESTED_CALLS;
         let (mut same_kind, mut other_kind) = (Duration::ZERO, Duration::ZERO);
         for (waiting, (req, _)) in &self.waiting {
@@ -401,7 +455,11 @@
         let work_ahead = same_kind + other_kind.min(same_kind.max(self.mean_running_work()));
         // Slots become free one after the other: the first after the mean running
         // time divided by the number of slots.
-        self.per_slot(work_ahead + self.mean_running_work())
+        let wait = self.per_slot(work_ahead + self.mean_running_work());
+        match &self.pacer {
+            Some(pacer) => wait.max(pacer.delay(now) + self.per_slot(work_ahead)),
+            None => wait,
+        }
     }
 
     /// Returns the mean estimate of the running requests.
@@ -409,9 +467,10 @@
         self.running_work / u32::try_from(self.running.max(1)).unwrap_or(u32::MAX)
     }
 
-    /// Returns the time that the upstream needs for `work` with all slots in use.
+    /// Returns the time that the upstream needs for `work` with all slots in use, or
+    /// at its limit.
     fn per_slot(&self, work: Duration) -> Duration {
-        work.div_f64(self.concurrency as f64)
+        work.div_f64(self.capacity())
     }
 }
 
@@ -430,6 +489,10 @@
 /// slot of a new request and may finish too late.
 const LATE_DEADLINE_FACTOR: f64 = 2.0;
 
+/// Weight of one request in the mean estimate.
+const ESTIMATE_SAMPLE_WEIGHT: f64 = 0.05;
+/// Least capacity, in slots, at a limit or an estimate close to 0.
+const MIN_CAPACITY: f64 = 0.01;
 /// Time over which the rate of arrivals is averaged: several service times, and
 /// less than the time that callers commonly have.
 const ARRIVAL_WINDOW: Duration = Duration::from_millis(500);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod limit;
 pub mod meter;
 pub mod outcomes;
+pub mod pacing;
 pub mod placement;
 pub mod planner;
 pub mod queue;
