A limited upstream counts as a smaller one wherever load is compared

Cause: gates kept to their upstream's limit, but reported all of its slots, so that owners of divided services at their limit looked lightly loaded and kept their keys, and entries of shared services kept choosing them.

--- a/crates/mesh/src/members.rs
+++ b/crates/mesh/src/members.rs
@@ -24,7 +24,8 @@
     pub incarnation: UpstreamIncarnation,
     /// Whether it is about to shut down.
     pub draining: bool,
-    /// Requests that it processes concurrently.
+    /// Requests that it processes concurrently; fewer than it has slots while it
+    /// names a limit.
     pub concurrency: u32,
     /// Requests in flight or queued at its gate.
     pub load: u32,
@@ -120,10 +121,11 @@
     }
 
     /// Records the load that a gate reported with a response.
-    pub fn record_load(&self, name: &str, load: u32, service_time: Duration) {
+    pub fn record_load(&self, name: &str, load: u32, service_time: Duration, concurrency: u32) {
         if let Some(upstream) = self.lock().get_mut(name).and_then(|m| m.upstream.as_mut()) {
             upstream.load = load;
             upstream.service_time = service_time;
+            upstream.concurrency = concurrency;
         }
     }
 
--- a/crates/proxy/src/entry/attempt.rs
+++ b/crates/proxy/src/entry/attempt.rs
@@ -3,12 +3,11 @@
 
 use super::plan::RequestPlan;
 use super::{Attempts, Entry};
-use crate::gate::{KeyOwnership, Permit};
+use crate::gate::{GateLoad, KeyOwnership, Permit};
 use crate::headers::{self, GATE_LOAD, OUTCOME};
 use crate::refusal::Refusal;
 use crate::relay::{RelayedResponse, read_response};
 use crate::upstream_selection::{CandidateSet, InFlightRequest, Target};
-use hyper::HeaderMap;
 use ibiscove_http::SendError;
 use ibiscove_routing::placement::{Candidate, Distance};
 use ibiscove_types::{Clock, Reason, ServiceName};
@@ -125,7 +124,7 @@
             distance: Distance::Local,
             round_trip: Duration::ZERO,
             load: f64::from(load.load),
-            concurrency: f64::from(upstream.announcement.concurrency),
+            concurrency: f64::from(load.concurrency),
             service_time: load.service_time,
             failure_rate: 0.0,
             is_cold: !upstream.announcement.warm_up_remaining.is_zero(),
@@ -157,8 +156,15 @@
             .send(gate, plan.outbound.to_http(to), max_idle)
             .await;
         let exchange = sent.map_err(|err| peer_refusal(plan, target, &err))?;
-        if let Some((load, service_time)) = read_load(exchange.response.headers()) {
-            deps.members.record_load(&target.node, load, service_time);
+        let load = headers::text(exchange.response.headers(), &GATE_LOAD);
+        if let Some(load) = load.and_then(GateLoad::from_header) {
+            let GateLoad {
+                load,
+                service_time,
+                concurrency,
+            } = load;
+            deps.members
+                .record_load(&target.node, load, service_time, concurrency);
         }
         if let Some(refusal) = Refusal::from_response(&exchange.response) {
             // Reading the body to its end makes the connection reusable.
@@ -212,11 +218,3 @@
         false => Refusal::unknown(Reason::PeerLost),
     }
 }
-
-fn read_load(from: &HeaderMap) -> Option<(u32, Duration)> {
-    let (load, micros) = headers::text(from, &GATE_LOAD)?.split_once(',')?;
-    Some((
-        load.parse().ok()?,
-        Duration::from_micros(micros.parse().ok()?),
-    ))
-}
--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -281,6 +281,28 @@
     pub load: u32,
     /// Typical latency of the upstream.
     pub service_time: Duration,
+    /// Requests that the upstream processes at a time; fewer while it names a limit
+    /// that cannot keep its slots busy.
+    pub concurrency: u32,
+}
+
+impl GateLoad {
+    /// Formats the load as a header's value.
+    pub fn to_header(self) -> String {
+        let micros = self.service_time.as_micros();
+        format!("{},{micros},{}", self.load, self.concurrency)
+    }
+
+    /// Parses a header's value.
+    pub fn from_header(text: &str) -> Option<Self> {
+        let mut numbers = text.split(',');
+        let load = Self {
+            load: numbers.next()?.parse().ok()?,
+            service_time: Duration::from_micros(numbers.next()?.parse().ok()?),
+            concurrency: numbers.next()?.parse().ok()?,
+        };
+        numbers.next().is_none().then_some(load)
+    }
 }
 
 impl<K: KeyOwnership, C: Clock> Gate<K, C> {
@@ -343,21 +365,24 @@
 
     /// Returns the gate's load.
     pub fn load(&self) -> GateLoad {
-        let (load, is_probing) = {
-            let admission = self.inner.admission();
-            (admission.load(), admission.is_probing())
+        let announced = self
+            .inner
+            .local_upstream
+            .current()
+            .map_or(1, |upstream| upstream.announcement.concurrency);
+        let (load, is_probing, capacity) = {
+            let mut admission = self.inner.admission();
+            admission.set_concurrency(announced as usize);
+            (
+                admission.load(),
+                admission.is_probing(),
+                admission.capacity(),
+            )
         };
         let load = match is_probing {
             // An unresponsive upstream has no free capacity, however little is
             // sent to it.
-            true => {
-                let concurrency = self
-                    .inner
-                    .local_upstream
-                    .current()
-                    .map_or(1, |upstream| upstream.announcement.concurrency);
-                load.max(2 * concurrency as usize)
-            }
+            true => load.max(2 * announced as usize),
             false => load,
         };
         let average = self
@@ -368,6 +393,7 @@
         GateLoad {
             load: u32::try_from(load).unwrap_or(u32::MAX),
             service_time: Duration::from_secs_f64(average),
+            concurrency: capacity.round().max(1.0) as u32,
         }
     }
 
--- a/crates/proxy/src/headers.rs
+++ b/crates/proxy/src/headers.rs
@@ -10,7 +10,8 @@
 pub const REASON: HeaderName = HeaderName::from_static("ibiscove-reason");
 /// On a forwarded request: its metadata, see [`crate::forward`].
 pub const FORWARD: HeaderName = HeaderName::from_static("ibiscove-forward");
-/// On a gate's response: its load and the typical latency of its upstream.
+/// On a gate's response: its load, the typical latency of its upstream in
+/// microseconds, and how many requests that processes at a time.
 pub const GATE_LOAD: HeaderName = HeaderName::from_static("ibiscove-gate-load");
 /// On a refusal between nodes: milliseconds until there is free capacity.
 pub const RETRY_AFTER_MS: HeaderName = HeaderName::from_static("ibiscove-retry-after-ms");
--- a/crates/proxy/src/peer_api.rs
+++ b/crates/proxy/src/peer_api.rs
@@ -67,10 +67,9 @@
             Err(refusal) => refusal.response(),
         };
         let load = self.gate.load();
-        let load = format!("{},{}", load.load, load.service_time.as_micros());
         response
             .headers_mut()
-            .insert(GATE_LOAD, headers::value(&load));
+            .insert(GATE_LOAD, headers::value(&load.to_header()));
         response
     }
 
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -399,7 +399,7 @@
         let upstream = inner.local_upstream.current().map(|current| Upstream {
             incarnation: current.announcement.incarnation.clone(),
             draining: current.draining_since.is_some(),
-            concurrency: current.announcement.concurrency,
+            concurrency: load.concurrency,
             load: load.load,
             service_time: load.service_time,
             warm_up_remaining: current.announcement.warm_up_remaining.saturating_sub(
--- a/crates/router/src/maintenance.rs
+++ b/crates/router/src/maintenance.rs
@@ -25,11 +25,11 @@
                 // It may still run behind a partition and keep its grants.
                 controller.record_upstream_gone(false);
             }
-            if let (Some(controller), Some(upstream)) =
+            if let (Some(controller), Some(_)) =
                 (inner.range_controller.get(), inner.local_upstream.current())
             {
-                let concurrency = f64::from(upstream.announcement.concurrency.max(1));
                 let load = inner.gate.load();
+                let concurrency = f64::from(load.concurrency.max(1));
                 controller
                     .record_utilisation(f64::from(load.load) / concurrency, load.service_time);
             }
--- a/crates/routing/tests/pacing.rs
+++ b/crates/routing/tests/pacing.rs
@@ -180,3 +180,19 @@
     assert!((3..=6).contains(&played.starts.len()));
     assert!(played.most_in(Duration::from_secs(4)) <= 5);
 }
+
+/// Guards against an upstream that counts as free while its limit is used up: its
+/// capacity is what the limit leaves of its slots.
+#[parameterized(
+    limit_leaves_less_than_a_slot = { Some(8.0), 0.72 },
+    limit_leaves_some_slots = { Some(30.0), 2.7 },
+    limit_above_what_the_slots_serve = { Some(500.0), 6.0 },
+    no_limit = { None, 6.0 },
+)]
+fn capacity_is_what_the_limit_leaves_of_the_slots(limit: Option<f64>, expected: f64) {
+    let now = Instant::now();
+    let mut admission = AdmissionController::new(6);
+    admission.set_max_rate(limit, now);
+    play(&mut admission, now, Duration::from_secs(1), 50.0);
+    assert!((admission.capacity() - expected).abs() < 1e-9);
+}
