An upstream that says in an answer that it leaves gets no new requests

Cause: gates relayed the header unread; leaving was known from the announcement and the leave call alone. The same cause elsewhere: an upstream that was taken for ended forgot that it had been leaving, so a delayed announcement put it in use again.

The local upstream keeps which incarnation is leaving and since when, whoever says so, until another incarnation announces itself. The gate tells the range controller at once, so keys begin to move with the first such answer.

--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -23,7 +23,7 @@
 use ibiscove_routing::hang_detector::HangDetector;
 use ibiscove_routing::latency_estimate::LatencyEstimate;
 use ibiscove_store::Table;
-use ibiscove_types::{BootClock, Clock, Key, Outcome, Reason};
+use ibiscove_types::{BootClock, Clock, Key, Outcome, Reason, UpstreamIncarnation};
 use smol::channel::{Receiver, Sender};
 use smol::future::FutureExt;
 use std::collections::HashMap;
@@ -42,6 +42,8 @@
     fn record_work(&self, key: Key, elapsed: Duration);
     /// Records that the upstream's process has ended.
     fn record_upstream_ended(&self);
+    /// Records that the upstream is leaving.
+    fn record_upstream_leaving(&self, incarnation: &UpstreamIncarnation);
 }
 
 impl<T: Table, G: ibiscove_ranges::Grantee, C: Clock + BootClock> KeyOwnership
@@ -58,6 +60,10 @@
     fn record_upstream_ended(&self) {
         self.record_upstream_gone(true);
     }
+
+    fn record_upstream_leaving(&self, incarnation: &UpstreamIncarnation) {
+        self.record_announcement(incarnation, true);
+    }
 }
 
 /// Settings of a gate.
--- a/crates/proxy/src/gate/exchange.rs
+++ b/crates/proxy/src/gate/exchange.rs
@@ -59,7 +59,11 @@
         let local_upstream = &self.inner.local_upstream;
         let notice = UpstreamNotice::read(from, names);
         let now = self.inner.clock.now();
-        local_upstream.record_notice(&upstream.announcement.incarnation, notice, sent_at, now);
+        let incarnation = &upstream.announcement.incarnation;
+        let begins_draining = local_upstream.record_notice(incarnation, notice, sent_at, now);
+        if begins_draining && let Some(keys) = self.inner.key_ownership.get() {
+            keys.record_upstream_leaving(incarnation);
+        }
         if let Some(current) = local_upstream.current() {
             self.inner.apply_rate_limit(&current, now);
             self.inner.pacing_due.notify(1);
--- a/crates/proxy/src/local_upstream.rs
+++ b/crates/proxy/src/local_upstream.rs
@@ -105,9 +105,40 @@
     /// The newest incarnation that ended, and its last sequence. Announcements
     /// up to these are late and ignored.
     ended: Option<(UpstreamIncarnation, u64)>,
+    /// The incarnation that said last that it leaves, and when. It stays so even if
+    /// it was taken for ended and announces itself again.
+    leaving: Option<(UpstreamIncarnation, Instant)>,
     last_response: Option<Instant>,
 }
 
+impl State {
+    /// Returns since when the upstream that announces itself has been draining.
+    fn draining_since(&self, announcement: &Announcement, now: Instant) -> Option<Instant> {
+        match &self.leaving {
+            Some((leaving, since)) if *leaving == announcement.incarnation => Some(*since),
+            _ => announcement.draining.then_some(now),
+        }
+    }
+
+    /// Records that an incarnation leaves. Returns whether that is new and it is the
+    /// current one.
+    fn mark_leaving(&mut self, incarnation: &UpstreamIncarnation, now: Instant) -> bool {
+        let is_known = matches!(&self.leaving, Some((leaving, _)) if leaving == incarnation);
+        if !is_known {
+            self.leaving = Some((incarnation.clone(), now));
+        }
+        let Some(current) = self
+            .current
+            .as_mut()
+            .filter(|current| current.announcement.incarnation == *incarnation)
+        else {
+            return false;
+        };
+        current.draining_since.get_or_insert(now);
+        !is_known
+    }
+}
+
 impl LocalUpstream {
     /// Creates the state before any announcement. The upstream accepts requests
     /// at `addr`; `changed` is notified of changes that other nodes act on.
@@ -153,19 +184,15 @@
         if effect == AnnouncementEffect::Stale {
             return effect;
         }
-        let draining_since = match &state.current {
-            Some(current) if current.announcement.incarnation == announcement.incarnation => {
-                current
-                    .draining_since
-                    .or(announcement.draining.then_some(now))
-            }
-            _ => announcement.draining.then_some(now),
-        };
+        let draining_since = state.draining_since(&announcement, now);
+        if let Some(since) = draining_since {
+            state.leaving = Some((announcement.incarnation.clone(), since));
+        }
         if effect == AnnouncementEffect::Changed {
             log::info!(
                 upstream = &*announcement.incarnation.id,
                 born_ms = announcement.incarnation.born_ms,
-                service = &*announcement.service, draining = announcement.draining,
+                service = &*announcement.service, draining = draining_since.is_some(),
                 sequence = announcement.sequence;
                 "upstream announced itself"
             );
@@ -193,37 +220,40 @@
     /// none of its announcements said that it drains.
     pub fn begin_draining(&self, id: &str, now: Instant) {
         let mut state = self.lock();
-        let Some(current) = state
+        let current = state
             .current
-            .as_mut()
-            .filter(|current| &*current.announcement.incarnation.id == id)
-        else {
+            .as_ref()
+            .map(|current| &current.announcement.incarnation);
+        let ended = state.ended.as_ref().map(|(incarnation, _)| incarnation);
+        let Some(incarnation) = current.or(ended).filter(|known| *known.id == *id).cloned() else {
             return;
         };
-        current.announcement.draining = true;
-        current.draining_since.get_or_insert(now);
-        drop(state);
-        log::info!(upstream = id; "upstream leaves");
-        self.inner.changed.notify(usize::MAX);
+        if state.mark_leaving(&incarnation, now) {
+            drop(state);
+            log::info!(upstream = id; "upstream leaves");
+            self.inner.changed.notify(usize::MAX);
+        }
     }
 
     /// Applies the notice in an answer of an upstream to a request that was sent at
     /// `sent_at`. An answer lifts a limit only if its request was sent after the
-    /// limit had last been named, since answers overtake one another.
+    /// limit had last been named, since answers overtake one another. Returns whether
+    /// the upstream begins to drain by this.
     pub fn record_notice(
         &self,
         incarnation: &UpstreamIncarnation,
         notice: UpstreamNotice,
         sent_at: Instant,
         now: Instant,
-    ) {
+    ) -> bool {
         let mut state = self.lock();
+        let begins_draining = notice.is_leaving && state.mark_leaving(incarnation, now);
         let Some(current) = state
             .current
             .as_mut()
             .filter(|current| current.announcement.incarnation == *incarnation)
         else {
-            return;
+            return false;
         };
         let earlier = current.rate_limit;
         match notice.max_rate {
@@ -251,6 +281,11 @@
             log::info!(upstream = &*incarnation.id, max_rate = &*max_rate;
                 "the limit of the upstream has changed");
         }
+        if begins_draining {
+            log::info!(upstream = &*incarnation.id; "upstream says in an answer that it leaves");
+            self.inner.changed.notify(usize::MAX);
+        }
+        begins_draining
     }
 
     /// Records that the upstream responded to a request.
