A gate that restarts beside its upstream learns its limit from its peers

Cause: only the gate keeps what its upstream said. A gate that is killed and started again beside a living upstream admits what the slots hold until the first answers come, and takes a leaving upstream for a ready one if a delayed announcement says so, while the entries that passed on such answers are bound by them (LIMIT, DRAIN excuse only the machine where a request began).

Gates add the limit and the time of leaving to their responses to other nodes; entries keep the newest for each node and return it with their next request, and the gate applies it before it admits that. A limit counts only until the upstream's own answers show it.

--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -11,6 +11,7 @@
 use crate::refusal::Refusal;
 use crate::relay::RelayedResponse;
 use crate::routes::ConfigCell;
+use crate::upstream_notice::KnownNotices;
 use crate::upstream_selection::{RoundTripEstimates, UpstreamSelector};
 use hyper::Request;
 use hyper::body::Incoming;
@@ -120,6 +121,8 @@
 struct Inner<K, C> {
     deps: EntryDependencies<K, C>,
     selector: UpstreamSelector,
+    /// What the upstreams of other nodes have said about themselves.
+    notices: KnownNotices,
     retry_budgets: RetryBudgets,
     caller_timeouts: CallerTimeoutsByRoute,
     unserved: UnservedRangesByService,
@@ -154,6 +157,7 @@
             inner: Arc::new(Inner {
                 deps,
                 selector: UpstreamSelector::default(),
+                notices: KnownNotices::default(),
                 retry_budgets: RetryBudgets::default(),
                 caller_timeouts: CallerTimeoutsByRoute::default(),
                 unserved: UnservedRangesByService::default(),
@@ -167,6 +171,7 @@
             self.inner.caller_timeouts.prune(&table);
         }
         self.inner.selector.prune(&self.inner.deps.members);
+        self.inner.notices.prune(&self.inner.deps.members);
         self.inner.deps.pool.prune();
     }
 
--- a/crates/proxy/src/entry/attempt.rs
+++ b/crates/proxy/src/entry/attempt.rs
@@ -32,6 +32,7 @@
         // While another gate may still meet the target, this one should refuse
         // the request rather than queue it past the target.
         plan.metadata.may_miss_target = !attempts.may_attempt_another(attempts.count + 1);
+        plan.metadata.upstream_notice = self.inner.notices.get(&target.node, now);
         let plan = &*plan;
         let in_flight = self.inner.selector.begin(&target.node);
         let remaining = plan.metadata.deadline.saturating_duration_since(now);
@@ -166,7 +167,14 @@
             deps.members
                 .record_load(&target.node, load, service_time, concurrency);
         }
-        if let Some(refusal) = Refusal::from_response(&exchange.response) {
+        let refusal = Refusal::from_response(&exchange.response);
+        self.inner.notices.record(
+            &target.node,
+            exchange.response.headers(),
+            refusal.is_none(),
+            deps.clock.now(),
+        );
+        if let Some(refusal) = refusal {
             // Reading the body to its end makes the connection reusable.
             drop(read_response::<()>(exchange, None).await);
             return Err(refusal);
--- a/crates/proxy/src/entry/plan.rs
+++ b/crates/proxy/src/entry/plan.rs
@@ -83,6 +83,7 @@
             may_miss_target: true,
             caller_service: deps.identity.service.clone(),
             entry_node: Arc::clone(&deps.identity.node),
+            upstream_notice: None,
         };
         let outbound = OutboundRequest {
             method: head.method.clone(),
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -1,6 +1,7 @@
 //! The header in which an entry sends a request's metadata to a gate.
 
 use crate::headers::{self, FORWARD};
+use crate::upstream_notice::NoticeReport;
 use hyper::HeaderMap;
 use ibiscove_routing::admission::Priority;
 use ibiscove_types::{Key, NodeName, ServiceName};
@@ -9,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 /// What the entry determined about a request, for the gate's admission control.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct RequestMetadata {
     /// The service that the request is for.
     pub service: ServiceName,
@@ -35,6 +36,8 @@
     pub caller_service: Option<ServiceName>,
     /// The node whose entry accepted the request.
     pub entry_node: NodeName,
+    /// What the entry knows that the upstream has said about itself.
+    pub upstream_notice: Option<NoticeReport>,
 }
 
 /// The header's content as JSON. Times are relative because clocks differ.
@@ -54,6 +57,8 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     origin: Option<ServiceName>,
     entry: NodeName,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    notice: Option<NoticeReport>,
 }
 
 impl RequestMetadata {
@@ -76,6 +81,7 @@
             may_be_late: self.may_miss_target,
             origin: self.caller_service.clone(),
             entry: Arc::clone(&self.entry_node),
+            notice: self.upstream_notice.clone(),
         };
         to.insert(FORWARD, headers::value(&serde_json::to_string(&fields)?));
         Ok(())
@@ -97,6 +103,7 @@
             may_miss_target: fields.may_be_late,
             caller_service: fields.origin,
             entry_node: fields.entry,
+            upstream_notice: fields.notice.filter(NoticeReport::is_valid),
         })
     }
 }
--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -5,12 +5,16 @@
 //! A request fails as `not-run` only if the upstream certainly did not run it.
 
 mod exchange;
+mod load;
+
+pub use load::GateLoad;
 
 use crate::forward::RequestMetadata;
 use crate::headers::HeaderNames;
 use crate::local_upstream::{LocalUpstream, ObservedUpstream};
 use crate::refusal::Refusal;
 use crate::relay::RelayedResponse;
+use crate::upstream_notice::NoticeReport;
 use bytes::Bytes;
 use event_listener::Event;
 use hyper::http::uri::PathAndQuery;
@@ -280,37 +284,6 @@
     }
 }
 
-/// Load of a gate, as it reports it to other nodes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct GateLoad {
-    /// Requests that run or wait.
-    pub load: u32,
-    /// Typical latency of the upstream.
-    pub service_time: Duration,
-    /// Requests that the upstream processes at a time; fewer while it names a limit
-    /// that cannot keep its slots busy.
-    pub concurrency: u32,
-}
-
-impl GateLoad {
-    /// Formats the load as a header's value.
-    pub fn to_header(self) -> String {
-        let micros = self.service_time.as_micros();
-        format!("{},{micros},{}", self.load, self.concurrency)
-    }
-
-    /// Parses a header's value.
-    pub fn from_header(text: &str) -> Option<Self> {
-        let mut numbers = text.split(',');
-        let load = Self {
-            load: numbers.next()?.parse().ok()?,
-            service_time: Duration::from_micros(numbers.next()?.parse().ok()?),
-            concurrency: numbers.next()?.parse().ok()?,
-        };
-        numbers.next().is_none().then_some(load)
-    }
-}
-
 impl<K: KeyOwnership, C: Clock> Gate<K, C> {
     /// Creates a gate for the local upstream.
     pub fn new(
@@ -403,6 +376,22 @@
         }
     }
 
+    /// Returns what the upstream has said about itself, for other nodes.
+    pub fn notice_report(&self) -> Option<NoticeReport> {
+        let now = self.inner.clock.now();
+        self.inner.local_upstream.notice_report(now)
+    }
+
+    /// Applies what the entry of a request knows of the upstream.
+    fn adopt_report(&self, report: &NoticeReport) {
+        let now = self.inner.clock.now();
+        if self.inner.local_upstream.adopt_report(report, now)
+            && let Some(keys) = self.inner.key_ownership.get()
+        {
+            keys.record_upstream_leaving(&report.upstream);
+        }
+    }
+
     /// Runs a request at the upstream.
     pub async fn run(
         &self,
@@ -429,6 +418,9 @@
         metadata: &RequestMetadata,
         outbound: &OutboundRequest,
     ) -> Result<RelayedResponse<Permit<K, C>>, Refusal> {
+        if let Some(report) = &metadata.upstream_notice {
+            self.adopt_report(report);
+        }
         let upstream = self.check_admission(metadata).map_err(Refusal::not_run)?;
         let permit = self.acquire_permit(metadata, &upstream).await?;
         // The state may have changed while the request was queued.
--- a/crates/proxy/src/local_upstream.rs
+++ b/crates/proxy/src/local_upstream.rs
@@ -6,7 +6,7 @@
 //! as gone when its address refuses connections, or when neither announcements
 //! nor responses of it arrive.
 
-use crate::upstream_notice::{MaxRateNotice, UpstreamNotice};
+use crate::upstream_notice::{MaxRateNotice, NoticeReport, UpstreamNotice, millis};
 use event_listener::Event;
 use ibiscove_types::{ServiceName, UpstreamIncarnation};
 use std::net::SocketAddr;
@@ -64,6 +64,9 @@
     pub draining_since: Option<Instant>,
     /// The limit that its answers name.
     pub rate_limit: Option<RateLimit>,
+    /// Whether this node has received an answer of it, which shows whether it names
+    /// a limit.
+    pub has_answered: bool,
 }
 
 /// A limit that an upstream names in its answers.
@@ -197,17 +200,18 @@
                 "upstream announced itself"
             );
         }
-        let rate_limit = match &state.current {
+        let (rate_limit, has_answered) = match &state.current {
             Some(current) if current.announcement.incarnation == announcement.incarnation => {
-                current.rate_limit
+                (current.rate_limit, current.has_answered)
             }
-            _ => None,
+            _ => (None, false),
         };
         state.current = Some(ObservedUpstream {
             announcement,
             received_at: now,
             draining_since,
             rate_limit,
+            has_answered,
         });
         drop(state);
         if effect == AnnouncementEffect::Changed {
@@ -255,6 +259,7 @@
         else {
             return false;
         };
+        current.has_answered = true;
         let earlier = current.rate_limit;
         match notice.max_rate {
             MaxRateNotice::Limited(max_rate) => {
@@ -288,6 +293,53 @@
         begins_draining
     }
 
+    /// Applies what another node reports that the upstream said. A limit counts only
+    /// until the upstream's own answers show it. Returns whether the upstream begins
+    /// to drain by this.
+    pub fn adopt_report(&self, report: &NoticeReport, now: Instant) -> bool {
+        let mut state = self.lock();
+        let begins_draining = report.leaving_ms.is_some_and(|ms| {
+            let since = now.checked_sub(Duration::from_millis(ms)).unwrap_or(now);
+            state.mark_leaving(&report.upstream, since)
+        });
+        let unanswered = state.current.as_mut().filter(|current| {
+            current.announcement.incarnation == report.upstream && !current.has_answered
+        });
+        if let Some(current) = unanswered
+            && let Some(max_rate) = report.max_rate
+            && current.rate_limit.is_none()
+        {
+            current.rate_limit = Some(RateLimit {
+                max_rate,
+                named_at: now,
+            });
+            log::info!(upstream = &*report.upstream.id, max_rate;
+                "the limit of the upstream is known from another node");
+        }
+        drop(state);
+        if begins_draining {
+            log::info!(upstream = &*report.upstream.id;
+                "another node knows that the upstream leaves");
+            self.inner.changed.notify(usize::MAX);
+        }
+        begins_draining
+    }
+
+    /// Returns what the current upstream has said about itself; none if it has
+    /// neither a limit nor leaves.
+    pub fn notice_report(&self, now: Instant) -> Option<NoticeReport> {
+        let state = self.lock();
+        let current = state.current.as_ref()?;
+        let report = NoticeReport {
+            upstream: current.announcement.incarnation.clone(),
+            max_rate: current.rate_limit.map(|limit| limit.max_rate),
+            leaving_ms: current
+                .draining_since
+                .map(|since| millis(now.saturating_duration_since(since))),
+        };
+        (report.max_rate.is_some() || report.leaving_ms.is_some()).then_some(report)
+    }
+
     /// Records that the upstream responded to a request.
     pub fn record_response(&self, now: Instant) {
         self.lock().last_response = Some(now);
--- a/crates/proxy/src/peer_api.rs
+++ b/crates/proxy/src/peer_api.rs
@@ -70,6 +70,9 @@
         response
             .headers_mut()
             .insert(GATE_LOAD, headers::value(&load.to_header()));
+        if let Some(report) = self.gate.notice_report() {
+            report.write(response.headers_mut());
+        }
         response
     }
 
--- a/crates/proxy/tests/upstream_notice.rs
+++ b/crates/proxy/tests/upstream_notice.rs
@@ -6,7 +6,7 @@
 use ibiscove_proxy::local_upstream::{
     Announcement, AnnouncementEffect, LocalUpstream, LocalUpstreamSettings,
 };
-use ibiscove_proxy::upstream_notice::{MaxRateNotice, UpstreamNotice};
+use ibiscove_proxy::upstream_notice::{KnownNotices, MaxRateNotice, NoticeReport, UpstreamNotice};
 use ibiscove_proxy::{HeaderNames, headers};
 use ibiscove_types::UpstreamIncarnation;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -151,3 +151,57 @@
     upstream.apply_announcement(announcement(10, 6), now);
     assert!(is_draining(&upstream));
 }
+
+/// Returns the report that an entry keeps after a gate's response, `age` later.
+fn report_kept(upstream: &LocalUpstream, now: Instant, age: Duration) -> NoticeReport {
+    let mut response = HeaderMap::new();
+    let report = upstream.notice_report(now).expect("it gave notice");
+    report.write(&mut response);
+    let known = KnownNotices::default();
+    known.record(&"node".into(), &response, true, now);
+    // A gate that refuses may not know its upstream yet.
+    known.record(&"node".into(), &HeaderMap::new(), false, now);
+    let kept = known.get("node", now + age).expect("it was recorded");
+    known.record(&"node".into(), &HeaderMap::new(), true, now);
+    assert_eq!(known.get("node", now), None);
+    kept
+}
+
+/// Guards against a node that restarts beside a limited upstream and sends it what
+/// its slots hold, though the entries of other nodes have been told of the limit.
+#[test]
+fn restarted_gate_learns_the_limit_from_the_entries_that_were_told() {
+    let now = Instant::now();
+    let (before, incarnation) = announced(now);
+    before.record_notice(&incarnation, limited(9.9), now, now);
+    let report = report_kept(&before, now, Duration::from_secs(1));
+
+    let (restarted, _) = announced(now);
+    assert!(!restarted.adopt_report(&report, now));
+    assert_eq!(max_rate(&restarted), Some(9.9));
+    // Its own answers count for more than what an entry heard earlier.
+    let later = now + Duration::from_millis(1);
+    restarted.record_notice(&incarnation, UpstreamNotice::default(), later, later);
+    restarted.adopt_report(&report, later);
+    assert_eq!(max_rate(&restarted), None);
+}
+
+/// Guards against a node that restarts beside a leaving upstream and uses it again,
+/// for the full time that a draining upstream is used.
+#[test]
+fn restarted_gate_learns_that_its_upstream_leaves_and_since_when() {
+    let now = Instant::now();
+    let (before, incarnation) = announced(now);
+    before.record_notice(&incarnation, leaving(), now, now);
+    let age = Duration::from_secs(1);
+    let report = report_kept(&before, now, age);
+
+    let (restarted, _) = announced(now);
+    assert!(restarted.adopt_report(&report, now + age));
+    let current = restarted.current().expect("the upstream is present");
+    assert!(!restarted.accepts_requests(&current, true, now + age));
+    // The next incarnation is another upstream.
+    restarted.apply_announcement(announcement(20, 1), now + age);
+    assert!(!restarted.adopt_report(&report, now + age));
+    assert!(!is_draining(&restarted));
+}
