A failing test for tables that return from an earlier copy

The explorer's table can return from an earlier copy: rows and versions go back, and versions are given out again.

--- a/crates/ranges/tests/explorer/schedules.rs
+++ b/crates/ranges/tests/explorer/schedules.rs
@@ -30,6 +30,39 @@
     for _ in 0..faults {
         add_fault(&cluster);
     }
+    finish_schedule(&cluster)
+}
+
+/// Runs a schedule in which the table also returns from earlier copies.
+pub fn run_schedule_with_restores(seed: u64, settings: ControllerSettings) -> Vec<String> {
+    let cluster = Arc::new(Cluster::new(seed, 4, settings));
+    let (faults, restores) = cluster.sim.draw(|rng| (rng.usize(0..7), rng.usize(1..3)));
+    for _ in 0..faults {
+        add_fault(&cluster);
+    }
+    for _ in 0..restores {
+        add_restore(&cluster);
+    }
+    finish_schedule(&cluster)
+}
+
+/// Takes the table away for a moment, after which it returns from a copy that is up
+/// to twelve seconds older.
+fn add_restore(cluster: &Arc<Cluster>) {
+    let (at, outage, age) = cluster.sim.draw(|rng| {
+        (
+            ms(rng.u64(FIRST_FAULT_MS..LAST_FAULT_MS)),
+            ms(rng.u64(0..4_000)),
+            ms(rng.u64(0..12_000)),
+        )
+    });
+    inject_into_every_table(cluster, at, at + outage, TableFaults::UNAVAILABLE);
+    cluster.schedule(at + outage, move |c| {
+        c.table.restore(at.saturating_sub(age))
+    });
+}
+
+fn finish_schedule(cluster: &Arc<Cluster>) -> Vec<String> {
     cluster
         .sim
         .run_until(ms(FIRST_FAULT_MS + LAST_FAULT_MS) + RECOVERY_PERIOD);
@@ -157,3 +190,27 @@
         assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
     }
 }
+
+/// Guards against two holders of a key, and fences that fall, after the table has
+/// returned from an earlier copy: nodes that remember the lost rows and nodes that
+/// don't must not act on two maps, nor on versions that are given out again.
+#[parameterized(
+    calls = { GrantDelivery::Calls },
+    reports = { GrantDelivery::Reports },
+)]
+fn after_restores_of_the_table_no_key_has_two_holders_and_all_are_held(delivery: GrantDelivery) {
+    let schedules = std::env::var("IBISCOVE_SCHEDULES")
+        .ok()
+        .and_then(|text| text.parse().ok());
+    for seed in 0..schedules.unwrap_or(SCHEDULES) {
+        let settings = ControllerSettings {
+            grants: GrantSettings {
+                delivery,
+                ..GrantSettings::default()
+            },
+            ..ControllerSettings::default()
+        };
+        let violations = run_schedule_with_restores(seed, settings);
+        assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
+    }
+}
--- a/crates/ranges/tests/explorer/table.rs
+++ b/crates/ranges/tests/explorer/table.rs
@@ -1,8 +1,10 @@
 //! A table service with injected faults: unavailability per node, lost
-//! responses and delayed writes.
+//! responses, delayed writes, and a return from an earlier copy.
 
 use ibiscove_sim::{ENVIRONMENT, NodeIndex, Sim};
-use ibiscove_store::{Commit, MemoryPlatform, RawRow, Table, TableError, Transaction};
+use ibiscove_store::{
+    Commit, MemoryPlatform, PlatformCopy, RawRow, Table, TableError, Transaction,
+};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -30,16 +32,32 @@
 #[derive(Clone)]
 pub struct FaultyTable {
     sim: Arc<Sim>,
-    memory: MemoryPlatform,
+    content: Content,
     faults: Arc<Mutex<Vec<TableFaults>>>,
     node: NodeIndex,
 }
 
+/// The rows, and a copy of them after each transaction.
+#[derive(Clone, Default)]
+struct Content {
+    memory: MemoryPlatform,
+    copies: Arc<Mutex<Vec<(Duration, PlatformCopy)>>>,
+}
+
+impl Content {
+    fn commit(&self, txn: &Transaction, now: Duration) -> Commit {
+        let done = self.memory.commit_now(txn);
+        let mut copies = self.copies.lock().expect("no holder panics");
+        copies.push((now, self.memory.copy()));
+        done
+    }
+}
+
 impl FaultyTable {
     pub fn new(sim: &Arc<Sim>, nodes: usize) -> Self {
         Self {
             sim: Arc::clone(sim),
-            memory: MemoryPlatform::default(),
+            content: Content::default(),
             faults: Arc::new(Mutex::new(vec![TableFaults::default(); nodes])),
             node: 0,
         }
@@ -57,6 +75,19 @@
         self.faults.lock().expect("no holder panics")[node] = faults;
     }
 
+    /// Replaces the rows by those of an earlier time.
+    pub fn restore(&self, to: Duration) {
+        let mut copies = self.content.copies.lock().expect("no holder panics");
+        copies.retain(|(at, _)| *at <= to);
+        match copies.last() {
+            Some((_, copy)) => self.content.memory.restore(copy),
+            None => self
+                .content
+                .memory
+                .restore(&MemoryPlatform::default().copy()),
+        }
+    }
+
     async fn start_call(&self) -> Result<TableFaults, TableError> {
         self.sim.sleep(Duration::from_millis(4)).await;
         let faults = self.faults.lock().expect("no holder panics")[self.node];
@@ -72,12 +103,12 @@
 impl Table for FaultyTable {
     async fn get(&self, key: &str) -> Result<Option<RawRow>, TableError> {
         self.start_call().await?;
-        self.memory.get(key).await
+        self.content.memory.get(key).await
     }
 
     async fn scan(&self, prefix: &str) -> Result<Vec<(String, RawRow)>, TableError> {
         self.start_call().await?;
-        self.memory.scan(prefix).await
+        self.content.memory.scan(prefix).await
     }
 
     async fn commit(&self, txn: Transaction) -> Result<Commit, TableError> {
@@ -93,16 +124,16 @@
         ));
         if is_delayed {
             let delay = Duration::from_millis(self.sim.draw(|rng| rng.u64(100..6_000)));
-            let (sim, memory) = (Arc::clone(&self.sim), self.memory.clone());
+            let (sim, content) = (Arc::clone(&self.sim), self.content.clone());
             self.sim
                 .spawn(ENVIRONMENT, async move {
                     sim.sleep(delay).await;
-                    memory.commit_now(&txn);
+                    content.commit(&txn, sim.now());
                 })
                 .detach();
             return unanswered;
         }
-        let done = self.memory.commit_now(&txn);
+        let done = self.content.commit(&txn, self.sim.now());
         match is_lost {
             true => unanswered,
             false => Ok(done),
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -16,7 +16,7 @@
 use std::future::Future;
 use std::sync::Arc;
 
-pub use memory::MemoryPlatform;
+pub use memory::{MemoryPlatform, PlatformCopy};
 
 /// A row as the table returns it.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/store/src/memory.rs
+++ b/crates/store/src/memory.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct State {
     /// Version of the latest write. One counter for all rows makes versions
     /// increase even when a row is deleted and created again.
@@ -14,6 +14,10 @@
     objects: BTreeMap<String, Vec<u8>>,
 }
 
+/// A copy of the content of a [`MemoryPlatform`].
+#[derive(Clone, Debug)]
+pub struct PlatformCopy(State);
+
 /// An in-memory table and object store. Clones share their content.
 #[derive(Clone, Debug, Default)]
 pub struct MemoryPlatform {
@@ -25,6 +29,17 @@
         self.state.lock().expect("a holder of the lock panicked")
     }
 
+    /// Returns a copy of the present content, for [`MemoryPlatform::restore`].
+    pub fn copy(&self) -> PlatformCopy {
+        PlatformCopy(self.state().clone())
+    }
+
+    /// Replaces the content by that of a copy, its versions included, as a platform
+    /// does that has lost what it acknowledged since.
+    pub fn restore(&self, copy: &PlatformCopy) {
+        *self.state() = copy.0.clone();
+    }
+
     /// Commits a transaction synchronously, for simulated tables in tests.
     pub fn commit_now(&self, txn: &Transaction) -> Commit {
         let mut state = self.state();
