Versions of the store count only in the era in which it gave them out

Cause: after the store has returned from an earlier copy it gives out versions again. A follower of the configuration that waited for changes after such a version missed what had changed before it, and a condition could hold for a row that it was not meant for.

The adapter returns versions that hold era and number, which rise across eras.

--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -6,12 +6,14 @@
 //!
 //! Guarantees of an implementation: a transaction is atomic, its conditions are
 //! checked in the same step as its writes, and the version of a row increases
-//! with each write. After [`TableError::Unanswered`] a commit counts as neither
+//! with each write, also across [`era`]s. After [`TableError::Unanswered`] a commit counts as neither
 //! done nor undone until its rows have been read back (`docs/ownership.md`).
 
+pub mod era;
 pub mod http;
 pub mod memory;
 
+use era::Era;
 use ibiscove_types::RowVersion;
 use std::future::Future;
 use std::sync::Arc;
@@ -97,6 +99,13 @@
 
 /// The platform's transactional table service.
 pub trait Table: Clone + Send + Sync + 'static {
+    /// Returns the newest era that an answer has shown; none before the first one. A
+    /// call that is answered in another era than it was sent in fails with
+    /// [`TableError::Unanswered`].
+    fn era(&self) -> Option<Era> {
+        Some(0)
+    }
+
     /// Reads one row; none when it does not exist.
     fn get(&self, key: &str) -> impl Future<Output = Result<Option<RawRow>, TableError>> + Send;
 
