Owners claim their ranges anew after the store returned from an earlier copy

Cause: nodes that remembered the lost rows and nodes that did not acted on two maps, fences started again from the restored epochs, and released ranges were given on although the same node had been assigned them anew meanwhile. The class: state that was derived from a log that can be cut off is compared as if it could not.

Each era of the table has rows of its own, an empty map and higher fences. Owners whose lease still runs go on serving and claim what their upstreams hold in their first lease row of the era; the rest is assigned when every earlier lease has ended (invariants 7 and 8 in docs/ranges.md). A transfer names the fence that was released.

--- a/crates/ranges/src/controller.rs
+++ b/crates/ranges/src/controller.rs
@@ -4,6 +4,7 @@
 //! one assigns ranges without a live owner, and one moves ranges.
 
 mod coordinate;
+mod eras;
 mod granting;
 mod leasing;
 mod moving;
@@ -18,14 +19,17 @@
 use crate::maps::RangeMaps;
 use crate::rows::{self, Snapshot};
 use crate::takeover::LeaseObservations;
+use eras::{SeenEra, sync_grants};
 use event_listener::Event;
 use futures_lite::future::zip;
 use ibiscove_mesh::{Member, Members};
+use ibiscove_store::era::{Era, era_of};
 use ibiscove_store::{Commit, Table, TableError, Transaction};
 use ibiscove_types::{
     BootClock, Clock, Incarnation, Key, NodeName, RowVersion, ServiceName, SinceBoot,
     UpstreamIncarnation,
 };
+use moving::PendingTransfer;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -36,6 +40,9 @@
     pub lease: LeaseSettings,
     /// Grant timing.
     pub grants: GrantSettings,
+    /// Whether the service starts for the first time, so that no upstream can hold a
+    /// range when the process starts; matters once the table has named an era.
+    pub is_first_start: bool,
 }
 
 /// Longest delay before a failed table call is retried. Random jitter shortens
@@ -125,7 +132,7 @@
     utilisation: f64,
     service_time: Duration,
     /// Transfers of released ranges that are not written to the map yet.
-    pending_transfers: Vec<Transfer>,
+    pending_transfers: Vec<PendingTransfer>,
     /// When a move to a joining member, or one that balances load or speed, was
     /// last planned.
     last_balanced: Option<Instant>,
@@ -133,6 +140,8 @@
     joined_at: Option<Instant>,
     /// The upstream seems to reject a range, so the map is to be read again.
     is_map_doubted: bool,
+    /// The era of the table, as this node knows it.
+    era: Option<SeenEra>,
 }
 
 impl<T: Table, G: Grantee, C: Clock + BootClock> RangeController<T, G, C> {
@@ -157,6 +166,7 @@
                     last_balanced: None,
                     joined_at: None,
                     is_map_doubted: false,
+                    era: None,
                 }),
                 state_changed: Event::new(),
                 map_update: smol::lock::Mutex::new(()),
@@ -218,7 +228,12 @@
             return None;
         }
         let map = self.current_map()?;
-        state.grants.sync_with(map.owned_by(&owner));
+        sync_grants(
+            &mut state.grants,
+            &map,
+            self.inner.deps.table.era()?,
+            &owner,
+        );
         if state.grants.apply_report(report) {
             log::warn!(service = &*self.inner.deps.service, epoch = map.epoch();
                 "the upstream holds less than it was granted");
@@ -349,16 +364,20 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns the other members that may own ranges now.
+    /// Returns the other members that may own ranges now. One that holds no lease of
+    /// the present era yet may not: its absence would not show in the table.
     fn eligible_members(&self) -> Vec<Member> {
         let now = self.inner.deps.clock.now();
+        let era = self.inner.deps.table.era();
         let mut eligible_members = Vec::new();
         self.inner
             .deps
             .members
             .for_each_alive_of(&self.inner.deps.service, now, |member| {
                 let is_ready = member.upstream.as_ref().is_some_and(|up| !up.draining);
-                if is_ready && member.lease_version > 0 {
+                let is_leased =
+                    member.lease_version > 0 && Some(era_of(member.lease_version)) == era;
+                if is_ready && is_leased {
                     eligible_members.push(member.clone());
                 }
             });
@@ -370,20 +389,16 @@
         self.inner.deps.clock.sleep(delay).await;
     }
 
-    /// Reads all rows of the service.
+    /// Reads all rows of the service in the present era.
     async fn read_rows(&self) -> Result<Snapshot, TableError> {
-        let rows = self
-            .inner
-            .deps
-            .table
-            .scan(&rows::prefix(&self.inner.deps.service))
-            .await?;
-        let snapshot = match Snapshot::parse(&self.inner.deps.service, &rows) {
+        let era = self.known_era().await?;
+        let rows = self.scan_in(era).await?;
+        let service = &self.inner.deps.service;
+        let snapshot = match Snapshot::parse(service, era, &rows) {
             Ok(snapshot) => snapshot,
             Err(err) => {
                 log::error!(
-                    "the range rows of {} are invalid, nothing is read from them: {err}",
-                    self.inner.deps.service
+                    "the range rows of {service} are invalid, nothing is read from them: {err}"
                 );
                 return Err(TableError::Unavailable(err.to_string()));
             }
@@ -402,8 +417,9 @@
 
     /// Reads one section of the map.
     async fn read_section(&self, section: SectionIndex) -> Result<(), TableError> {
-        let key = rows::section_key(&self.inner.deps.service, section);
-        let Some(row) = self.inner.deps.table.get(&key).await? else {
+        let era = self.known_era().await?;
+        let key = rows::section_key(&self.inner.deps.service, era, section);
+        let Some(row) = self.get_in(era, &key).await? else {
             return Ok(());
         };
         match rows::parse_section(&key, section, &row) {
@@ -445,12 +461,19 @@
             let Some(transfers) = plan(&map) else {
                 return Ok(());
             };
+            let era = self.known_era().await?;
+            if transfers.iter().any(|t| !map.is_assigned_in(era, t.range)) {
+                return Err(TableError::Unavailable(
+                    "the range map of the present era is not written yet".to_owned(),
+                ));
+            }
             let next = map.with_transfers(&transfers);
             let mut changed = changed_sections(&map, &next);
             if failures > 0 {
                 changed = vec![changed.swap_remove(failures % changed.len())];
             }
-            let result = self.commit_sections(&changed, Transaction::default()).await;
+            let result = self.commit_sections(era, &changed, Transaction::default());
+            let result = result.await;
             let err = match result {
                 Ok(Commit::Done(_)) => {
                     self.record_transfers(&changed, &transfers);
@@ -476,6 +499,7 @@
     /// versions that the sections were computed from.
     async fn commit_sections(
         &self,
+        era: Era,
         changed: &[ChangedSection],
         base: Transaction,
     ) -> Result<Commit, TableError> {
@@ -485,13 +509,13 @@
             let body = serde_json::to_vec(&**section).map_err(|err| {
                 TableError::Unavailable(format!("the range map cannot be serialised: {err}"))
             })?;
-            let key = rows::section_key(service, section.index());
+            let key = rows::section_key(service, era, section.index());
             txn.replace(&key, *base, body);
         }
         // The sections come first, so that their versions are the first returned.
         txn.conditions.extend(base.conditions);
         txn.writes.extend(base.writes);
-        let commit = self.inner.deps.table.commit(txn).await?;
+        let commit = self.commit_in(era, txn).await?;
         if let Commit::Done(versions) = &commit {
             for (ChangedSection { section, .. }, version) in changed.iter().zip(versions) {
                 self.accept_section(*version, Arc::clone(section));
@@ -516,7 +540,8 @@
     /// section of the map.
     async fn reread_after_conflict(&self, key: &str) -> Result<(), TableError> {
         metrics::counter!("ibiscove_map_conflicts_total").increment(1);
-        match rows::section_of_key(&self.inner.deps.service, key) {
+        let era = self.known_era().await?;
+        match rows::section_of_key(&self.inner.deps.service, era, key) {
             Some(section) => self.read_section(section).await,
             None => self.read_rows().await.map(|_| ()),
         }
--- a/crates/ranges/src/controller/coordinate.rs
+++ b/crates/ranges/src/controller/coordinate.rs
@@ -7,9 +7,10 @@
 use super::{RangeController, changed_sections};
 use crate::balance::assign_ranges;
 use crate::grants::Grantee;
-use crate::map::{KeyRange, Owner, RangeMap, Transfer};
+use crate::map::{Assignment, KeyRange, Owner, RangeMap, Transfer};
 use crate::rows;
 use ibiscove_mesh::Member;
+use ibiscove_store::era::{Era, era_of};
 use ibiscove_store::{Commit, Condition, Table, TableError, Transaction, Write};
 use ibiscove_types::{BootClock, Clock, NodeName, RowVersion};
 use std::collections::BTreeSet;
@@ -19,6 +20,10 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(300);
 /// Time that members have to join before keys are divided for the first time.
 const JOIN_PERIOD: Duration = Duration::from_millis(2_500);
+/// Time that members have to claim what they hold, after an era of the table began,
+/// before the claims are written into the map. A member learns of an era with its
+/// next renewal at the latest.
+const CLAIM_PERIOD: Duration = Duration::from_millis(2_500);
 /// Most nodes whose ranges one transaction takes over. With a condition and a
 /// removal for each, and a condition and a write for each section of the map, it
 /// stays below the hundred entries that a table accepts.
@@ -40,7 +45,12 @@
 
     fn is_coordinator(&self) -> bool {
         let state = self.state();
-        if state.is_leaving || state.incarnation.is_none() || !self.holds_lease(&state) {
+        let is_leased_in_era = state.lease.version.map(era_of) == self.inner.deps.table.era();
+        if state.is_leaving
+            || state.incarnation.is_none()
+            || !self.holds_lease(&state)
+            || !is_leased_in_era
+        {
             return false;
         }
         let is_join_period_over = state.joined_at.is_some_and(|joined| {
@@ -60,9 +70,21 @@
     }
 
     async fn assign_unowned(&self) -> Result<(), TableError> {
-        let map = self.current_map_or_unowned();
+        let era = self.known_era().await?;
+        // Claims are read after this, so that none that counts is missed.
+        let may_assign_unclaimed = self.may_assign_unclaimed();
+        let mut map = self.current_map_or_unowned().in_era(era);
+        if map.assignments().any(Assignment::is_unassigned) {
+            let may_wait = !may_assign_unclaimed;
+            if !self.write_claims(era, may_wait).await? {
+                return Ok(());
+            }
+            map = self.current_map_or_unowned().in_era(era);
+        }
         let unresponsive = self.unresponsive_owners(&map);
-        let has_unowned = map.assignments().any(|a| a.owner.is_none());
+        let is_free =
+            |a: &Assignment| a.owner.is_none() && (may_assign_unclaimed || !a.is_unassigned());
+        let has_unowned = map.assignments().any(is_free);
         if unresponsive.is_empty() && !has_unowned {
             return Ok(());
         }
@@ -100,15 +122,15 @@
         }
         let owners = self.eligible_owners();
         let nodes: BTreeSet<&NodeName> = expired.iter().map(|(node, _)| node).collect();
-        let Some(transfers) = plan_takeover(&map, &nodes, &owners) else {
+        let Some(transfers) = plan_takeover(&map, is_free, &nodes, &owners) else {
             return Ok(());
         };
         // Invariant 5: the leases end and their ranges move in one transaction.
-        let removals = lease_removals(&self.inner.deps.service, &expired);
+        let removals = lease_removals(&self.inner.deps.service, era, &expired);
         let _guard = self.inner.map_update.lock().await;
         let next = map.with_transfers(&transfers);
         let changed = changed_sections(&map, &next);
-        match self.commit_sections(&changed, removals).await? {
+        match self.commit_sections(era, &changed, removals).await? {
             Commit::Done(_) => self.record_transfers(&changed, &transfers),
             // The next poll plans anew.
             Commit::Conflict(key) => self.reread_after_conflict(&key).await?,
@@ -116,6 +138,55 @@
         Ok(())
     }
 
+    /// Writes into the map what lease rows claim of the keys that were not assigned in
+    /// this era. Returns whether all claims of the rows are in the map. Claims are
+    /// gathered for a moment, so that the sections don't change for each of them.
+    async fn write_claims(&self, era: Era, may_wait: bool) -> Result<bool, TableError> {
+        if may_wait && self.awaits_leases(era) {
+            return Ok(false);
+        }
+        let snapshot = self.read_rows().await?;
+        let map = self.current_map_or_unowned().in_era(era);
+        let next = map.with_claims(&snapshot.claims);
+        let changed = changed_sections(&map, &next);
+        if changed.is_empty() {
+            return Ok(true);
+        }
+        let _guard = self.inner.map_update.lock().await;
+        let commit = self.commit_sections(era, &changed, Transaction::default());
+        match commit.await? {
+            Commit::Done(_) => {
+                let claims: usize = snapshot.claims.iter().map(|(_, claims)| claims.len()).sum();
+                metrics::counter!("ibiscove_range_claims_total").increment(claims as u64);
+                log::warn!(service = &*self.inner.deps.service, era, claims,
+                    sections = changed.len(); "claimed ranges are written into the map");
+                Ok(true)
+            }
+            Commit::Conflict(key) => {
+                self.reread_after_conflict(&key).await?;
+                Ok(false)
+            }
+        }
+    }
+
+    /// Returns whether a live member has not acquired its lease of this era yet, and
+    /// it may still do so soon.
+    fn awaits_leases(&self, era: Era) -> bool {
+        let now = self.inner.deps.clock.now();
+        let since_boot = self.inner.deps.clock.since_boot();
+        let is_recent = self
+            .state()
+            .era
+            .is_some_and(|seen| since_boot.saturating_sub(seen.since) < CLAIM_PERIOD);
+        let mut is_awaited = false;
+        let members = &self.inner.deps.members;
+        members.for_each_alive_of(&self.inner.deps.service, now, |member| {
+            let version = member.lease_version;
+            is_awaited |= version > 0 && era_of(version) != era;
+        });
+        is_recent && is_awaited
+    }
+
     /// Returns the other nodes that own ranges and are leaving or sent no
     /// recent heartbeat.
     fn unresponsive_owners(&self, map: &RangeMap) -> Vec<NodeName> {
@@ -153,10 +224,14 @@
     })
 }
 
-fn lease_removals(service: &str, expired: &[(NodeName, Option<RowVersion>)]) -> Transaction {
+fn lease_removals(
+    service: &str,
+    era: Era,
+    expired: &[(NodeName, Option<RowVersion>)],
+) -> Transaction {
     let mut txn = Transaction::default();
     for (node, version) in expired {
-        let key = rows::lease_key(service, node);
+        let key = rows::lease_key(service, era, node);
         txn.conditions.push(Condition {
             key: key.clone(),
             version: *version,
@@ -170,12 +245,12 @@
 
 fn plan_takeover(
     map: &RangeMap,
+    is_free: impl Fn(&Assignment) -> bool,
     expired: &BTreeSet<&NodeName>,
     owners: &[Owner],
 ) -> Option<Vec<Transfer>> {
-    let is_available =
-        |owner: &Option<Owner>| owner.as_ref().is_none_or(|o| expired.contains(&o.node));
-    let available = map.assignments().filter(|a| is_available(&a.owner));
+    let is_expired = |a: &Assignment| a.owner.as_ref().is_some_and(|o| expired.contains(&o.node));
+    let available = map.assignments().filter(|a| is_free(a) || is_expired(a));
     let ranges: Vec<KeyRange> = available.map(|a| a.range).collect();
     let divided = assign_ranges(map, &ranges, owners);
     if divided.is_empty() {
--- a/crates/ranges/src/controller/granting.rs
+++ b/crates/ranges/src/controller/granting.rs
@@ -1,6 +1,7 @@
 //! Issues and renews the grants of the local upstream's ranges.
 
 use super::RangeController;
+use super::eras::sync_grants;
 use crate::grants::{GrantCall, GrantDelivery, GrantReply, Grantee};
 use futures_lite::FutureExt;
 use ibiscove_store::Table;
@@ -58,7 +59,13 @@
         let now = self.inner.deps.clock.since_boot();
         let mut state = self.state();
         let owner = self.local_owner(&state)?;
-        state.grants.sync_with(self.current_map()?.owned_by(&owner));
+        let map = self.current_map()?;
+        sync_grants(
+            &mut state.grants,
+            &map,
+            self.inner.deps.table.era()?,
+            &owner,
+        );
         let lease_end = self.lease_end(&state)?;
         let settings = &self.inner.deps.settings.grants;
         let call = state
--- a/crates/ranges/src/controller/leasing.rs
+++ b/crates/ranges/src/controller/leasing.rs
@@ -3,8 +3,10 @@
 use super::{RETRY_DELAY, RangeController};
 use crate::grants::Grantee;
 use crate::lease::Lease;
+use crate::map::Claim;
 use crate::rows::{self, LeaseRow};
 use futures_lite::FutureExt;
+use ibiscove_store::era::{Era, era_of};
 use ibiscove_store::{Commit, Table, TableError, Transaction};
 use ibiscove_types::{BootClock, Clock, NodeName, RowVersion, SinceBoot, UpstreamIncarnation};
 
@@ -19,7 +21,9 @@
             };
             let settings = &self.inner.deps.settings.lease;
             match incarnation {
-                Some(incarnation) if lease.is_renewal_due(settings, now) => {
+                Some(incarnation)
+                    if lease.is_renewal_due(settings, now) || self.is_of_earlier_era(&lease) =>
+                {
                     if let Err(err) = self.renew(&incarnation, lease).await {
                         metrics::counter!("ibiscove_lease_failures_total").increment(1);
                         log::warn!("the lease was not renewed: {err}");
@@ -41,7 +45,9 @@
         lease: Lease,
     ) -> Result<(), TableError> {
         let is_acquired = lease.end(&self.inner.deps.settings.lease).is_none();
-        let version = match lease.version {
+        let era = self.known_era().await?;
+        let known_version = lease.version.filter(|version| era_of(*version) == era);
+        let version = match known_version {
             Some(version) => Some(version),
             None => self
                 .read_rows()
@@ -49,41 +55,82 @@
                 .lease_version_of(&self.inner.deps.node),
         };
         let sent = self.inner.deps.clock.since_boot();
-        let key = rows::lease_key(&self.inner.deps.service, &self.inner.deps.node);
+        let (claims, valid_until) = self.claims_under_lease(era, sent);
+        let key = rows::lease_key(&self.inner.deps.service, era, &self.inner.deps.node);
         let row = LeaseRow {
             node: NodeName::clone(&self.inner.deps.node),
             incarnation: self.inner.deps.incarnation,
             life: incarnation.clone(),
+            claims,
         };
         let body = serde_json::to_vec(&row).map_err(|err| {
             TableError::Unavailable(format!("the lease row cannot be serialised: {err}"))
         })?;
         let mut txn = Transaction::default();
         txn.replace(&key, version, body);
-        match self.inner.deps.table.commit(txn).await {
+        match self.commit_in(era, txn).await {
             Ok(Commit::Done(versions)) => {
                 let version = versions.first().copied().unwrap_or_default();
-                if is_acquired {
+                if is_acquired || known_version.is_none() {
                     // Invariant 5: a takeover is conditional on the lease row, so
                     // none is possible between this read and the first grant.
                     self.read_rows().await?;
                 }
+                self.drop_lapsed_claims(era, valid_until);
                 self.record_renewal(incarnation, version, sent);
                 Ok(())
             }
             Ok(Commit::Conflict(_)) => {
-                self.reread_lease(&key).await;
+                self.reread_lease(era, &key).await;
                 Ok(())
             }
             Err(err) => {
                 if matches!(err, TableError::Unanswered(_)) {
-                    self.reread_lease(&key).await;
+                    self.reread_lease(era, &key).await;
                 }
                 Err(err)
             }
         }
     }
 
+    fn is_of_earlier_era(&self, lease: &Lease) -> bool {
+        let era = self.observe_era();
+        lease
+            .version
+            .is_some_and(|version| Some(era_of(version)) != era)
+    }
+
+    /// Returns what this node may claim in an era, and until when a confirmation of
+    /// the claim counts: while its lease runs, nobody else can have been assigned
+    /// what its upstream holds.
+    fn claims_under_lease(&self, era: Era, now: SinceBoot) -> (Vec<Claim>, SinceBoot) {
+        let state = self.state();
+        let valid_until = self.lease_end(&state).unwrap_or_default();
+        if now >= valid_until {
+            return (Vec::new(), valid_until);
+        }
+        let map = self.current_map_or_unowned();
+        (state.claims(&map, era), valid_until)
+    }
+
+    /// Ends the grants of keys that were not assigned in an era, if the lease that
+    /// they rest on ended before the next one was confirmed: the keys may have been
+    /// assigned to others since.
+    fn drop_lapsed_claims(&self, era: Era, valid_until: SinceBoot) {
+        if self.inner.deps.clock.since_boot() < valid_until {
+            return;
+        }
+        let map = self.current_map_or_unowned();
+        let mut state = self.state();
+        let lapsed = state.claims(&map, era);
+        state.grants.drop_claimed(&lapsed);
+        drop(state);
+        if !lapsed.is_empty() {
+            log::warn!(service = &*self.inner.deps.service, era, ranges = lapsed.len();
+                "the lease ended before ranges of an earlier era were claimed, their grants end");
+        }
+    }
+
     fn record_renewal(
         &self,
         incarnation: &UpstreamIncarnation,
@@ -107,11 +154,17 @@
     /// Reads the lease row after a conflict or a lost response. A row that
     /// still exists is this node's: no other node writes it, others only remove
     /// it.
-    async fn reread_lease(&self, key: &str) {
-        let read = self.inner.deps.table.get(key).await;
+    async fn reread_lease(&self, era: Era, key: &str) {
+        let read = self.get_in(era, key).await;
         let mut state = self.state();
+        let has_row = state
+            .lease
+            .version
+            .is_some_and(|version| era_of(version) == era);
         match read {
             Ok(Some(row)) => state.lease.record_version(row.version),
+            // The row of an earlier era ended with that era, not the lease.
+            Ok(None) if !has_row => {}
             Ok(None) => {
                 log::warn!(service = &*self.inner.deps.service;
                     "lease lost: its row was removed, all grants end");
--- a/crates/ranges/src/controller/moving.rs
+++ b/crates/ranges/src/controller/moving.rs
@@ -6,12 +6,12 @@
 use super::coordinate::owner_of;
 use crate::balance::{self, Candidate, OffloadReason};
 use crate::grants::{GrantDelivery, Grantee, ReleaseCall, ReleaseReply};
-use crate::map::{KeyRange, Owner, RangeMap, SectionIndex, Transfer, section_of};
+use crate::map::{Claim, KeyRange, Owner, RangeMap, SectionIndex, Transfer, section_of};
 use futures_lite::FutureExt;
 use futures_util::future::join_all;
 use ibiscove_mesh::Member;
 use ibiscove_store::{Table, TableError};
-use ibiscove_types::{BootClock, Clock, NodeName};
+use ibiscove_types::{BootClock, Clock, Fence, NodeName};
 use std::time::Duration;
 
 /// Interval between two checks for ranges that should move.
@@ -30,6 +30,15 @@
 /// Interval between two checks for the response to a pending grant.
 const REPLY_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
+/// A transfer of a released range that is not written to the map yet.
+#[derive(Clone, Debug)]
+pub(super) struct PendingTransfer {
+    transfer: Transfer,
+    /// Fence of the grant that was released. The range may be transferred only while
+    /// the map shows this node's ownership under it.
+    released_fence: Fence,
+}
+
 impl<T: Table, G: Grantee, C: Clock + BootClock> RangeController<T, G, C> {
     pub(super) async fn move_ranges(&self) {
         loop {
@@ -70,11 +79,24 @@
         let Some((first, _)) = moves.first() else {
             return;
         };
-        if self.is_table_reachable(section_of(first.first)).await {
+        // A range is released only if its next owner can be written at once.
+        if self.is_table_reachable(section_of(first.first)).await && self.shows_present_era(&moves)
+        {
             self.execute_moves(&own, moves).await;
         }
     }
 
+    /// Returns whether the map shows the owners of all these ranges in the present
+    /// era of the table.
+    fn shows_present_era(&self, moves: &[(KeyRange, Owner)]) -> bool {
+        let map = self.current_map_or_unowned();
+        self.observe_era().is_some_and(|era| {
+            moves
+                .iter()
+                .all(|(range, _)| map.is_assigned_in(era, *range))
+        })
+    }
+
     /// Returns whether the table is reachable now, and updates a section of the
     /// map from it. A range that is released while the table is unreachable has
     /// no owner that serves it.
@@ -241,48 +263,49 @@
             GrantDelivery::Calls => self.release_by_calls(own, range).await,
             GrantDelivery::Reports => self.release_by_reports(range).await,
         };
-        let transfers = released.into_iter().map(|(range, reply)| Transfer {
-            range,
-            to: Some(to.clone()),
-            handover: match reply {
-                ReleaseReply::Released { handover } => handover,
-                ReleaseReply::Ended | ReleaseReply::Unanswered => None,
-            },
-        });
+        let transfers = released
+            .into_iter()
+            .map(|(released, reply)| PendingTransfer {
+                released_fence: released.fence,
+                transfer: Transfer {
+                    range: released.range,
+                    to: Some(to.clone()),
+                    handover: match reply {
+                        ReleaseReply::Released { handover } => handover,
+                        ReleaseReply::Ended | ReleaseReply::Unanswered => None,
+                    },
+                },
+            });
         self.state().pending_transfers.extend(transfers);
         self.write_pending_transfers().await;
     }
 
     /// Releases a range by calls; completes when it may be transferred.
-    async fn release_by_calls(
-        &self,
-        own: &Owner,
-        range: KeyRange,
-    ) -> Vec<(KeyRange, ReleaseReply)> {
+    async fn release_by_calls(&self, own: &Owner, range: KeyRange) -> Vec<(Claim, ReleaseReply)> {
         // Ranges that wait for the semaphore are still served.
         let _permit = self.inner.release_permits.acquire().await;
         let calls = self.state().grants.begin_release(&own.life, range);
         let mut released = Vec::new();
         for call in calls {
-            let range = call.range;
+            let (range, fence) = (call.range, call.fence);
             while self.state().grants.has_pending_call(range) {
                 self.inner.deps.clock.sleep(REPLY_POLL_INTERVAL).await;
             }
             let reply = self.release_with_retries(call).await;
             self.wait_until_transferable(range, &reply).await;
-            released.push((range, reply));
+            released.push((Claim { range, fence }, reply));
         }
         released
     }
 
     /// Releases a range through the answers to the upstream's reports; completes
     /// when it may be transferred.
-    async fn release_by_reports(&self, range: KeyRange) -> Vec<(KeyRange, ReleaseReply)> {
+    async fn release_by_reports(&self, range: KeyRange) -> Vec<(Claim, ReleaseReply)> {
         let parts = self.state().grants.request_release(range);
         let mut released = Vec::new();
         for part in parts {
-            let reply = self.reported_release(part).await;
-            self.wait_until_transferable(part, &reply).await;
+            let reply = self.reported_release(part.range).await;
+            self.wait_until_transferable(part.range, &reply).await;
             released.push((part, reply));
         }
         released
@@ -346,6 +369,18 @@
         reply
     }
 
+    /// Returns whether the map of the present era does not yet show the owner of a
+    /// range that is to be transferred: this node has claimed it, or it is assigned
+    /// to another later on.
+    fn awaits_claims(&self, transfers: &[PendingTransfer]) -> bool {
+        let map = self.current_map_or_unowned();
+        self.observe_era().is_none_or(|era| {
+            let is_assigned =
+                |pending: &PendingTransfer| map.is_assigned_in(era, pending.transfer.range);
+            !transfers.iter().all(is_assigned)
+        })
+    }
+
     /// Writes all pending transfers in one transaction. Their ranges are
     /// released, so the write is retried until the map shows that this node no
     /// longer owns them.
@@ -355,20 +390,24 @@
         if transfers.is_empty() {
             return;
         }
-        let is_owned = |map: &RangeMap, transfer: &&Transfer| {
-            let owner = &map.assignment_of(transfer.range.first).owner;
-            owner
-                .as_ref()
-                .is_some_and(|owner| owner.node == self.inner.deps.node)
+        // What this node was assigned anew is not what it released.
+        let is_as_released = |map: &RangeMap, pending: &&PendingTransfer| {
+            let assignment = map.assignment_of(pending.transfer.range.first);
+            let owner = assignment.owner.as_ref();
+            owner.is_some_and(|owner| owner.node == self.inner.deps.node)
+                && assignment.fence == pending.released_fence
         };
         let plan = |map: &RangeMap| {
             let remaining: Vec<_> = transfers
                 .iter()
-                .filter(|t| is_owned(map, t))
-                .cloned()
+                .filter(|pending| is_as_released(map, pending))
+                .map(|pending| pending.transfer.clone())
                 .collect();
             (!remaining.is_empty()).then_some(remaining)
         };
+        while self.awaits_claims(&transfers) {
+            self.wait_before_retry().await;
+        }
         while let Err(err) = self.update_map(plan).await {
             log::warn!("released ranges are not written yet: {err}");
             self.wait_before_retry().await;
--- a/crates/ranges/src/grants.rs
+++ b/crates/ranges/src/grants.rs
@@ -7,7 +7,7 @@
 
 pub mod reports;
 
-use crate::map::{Assignment, KeyRange};
+use crate::map::{Assignment, Claim, KeyRange};
 use ibiscove_types::{Fence, Key, SinceBoot, UpstreamIncarnation};
 use reports::ReportedState;
 use std::future::Future;
@@ -228,6 +228,26 @@
         self.ranges = next;
     }
 
+    /// Returns what the upstream holds, or may be about to hold, and does not let go.
+    pub fn held(&self) -> impl Iterator<Item = Claim> {
+        let held = self
+            .ranges
+            .iter()
+            .filter(|g| g.release != ReleaseProgress::Stopped);
+        held.map(|g| Claim {
+            range: g.range,
+            fence: g.fence,
+        })
+    }
+
+    /// Drops the grants of claims that have lapsed.
+    pub fn drop_claimed(&mut self, claims: &[Claim]) {
+        self.ranges.retain(|g| {
+            let is_of_grant = |c: &Claim| c.fence == g.fence && c.range.overlaps(&g.range);
+            !claims.iter().any(is_of_grant)
+        });
+    }
+
     /// Returns whether the upstream holds a confirmed grant of a key now.
     pub fn is_granted(&self, key: Key, now: SinceBoot) -> bool {
         self.ranges.iter().any(|g| {
--- a/crates/ranges/src/grants/reports.rs
+++ b/crates/ranges/src/grants/reports.rs
@@ -8,7 +8,7 @@
 //! `docs/ranges.md` restates the invariants for this way.
 
 use super::{GrantSettings, Grants, RangeGrant, ReleaseProgress, ReleaseReply};
-use crate::map::KeyRange;
+use crate::map::{Claim, KeyRange};
 use ibiscove_types::{Fence, SinceBoot};
 use std::sync::Arc;
 use std::time::Duration;
@@ -152,14 +152,19 @@
 
     /// Requests the release of the granted parts of `range`, which are served
     /// until the next answer leaves them out. Returns these parts.
-    pub fn request_release(&mut self, range: KeyRange) -> Vec<KeyRange> {
+    pub fn request_release(&mut self, range: KeyRange) -> Vec<Claim> {
         let parts = self.split_at(range);
+        let mut requested = Vec::with_capacity(parts.len());
         for g in self.ranges.iter_mut().filter(|g| parts.contains(&g.range)) {
             if g.release == ReleaseProgress::Serving {
                 g.release = ReleaseProgress::Requested;
             }
+            requested.push(Claim {
+                range: g.range,
+                fence: g.fence,
+            });
         }
-        parts
+        requested
     }
 
     /// Returns the outcome of a requested release once it is certain; none while
--- a/crates/ranges/src/map.rs
+++ b/crates/ranges/src/map.rs
@@ -1,5 +1,6 @@
 //! The range map: the partition of a service's keys among its owners.
 
+use ibiscove_store::era::{self, Era};
 use ibiscove_types::{Fence, Key, NodeName, RowVersion, UpstreamIncarnation};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -174,16 +175,63 @@
     UnknownOwner,
 }
 
+/// A range that an upstream holds since an earlier era of the table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// The keys.
+    pub range: KeyRange,
+    /// The fencing token of the grant.
+    pub fence: Fence,
+}
+
 impl RangeMap {
     /// Returns a map in which every key is unowned.
     pub fn unowned() -> Self {
-        let section = |index| Arc::new(MapSection::unowned(index));
+        let section = |index| Arc::new(MapSection::unowned(index, 0));
         Self {
             sections: (0..SECTION_COUNT).map(section).collect(),
             versions: vec![0; SECTION_COUNT],
         }
     }
 
+    /// Returns the map of an era: sections of other eras are unowned in it and have
+    /// no row.
+    pub fn in_era(&self, era: Era) -> Self {
+        let mut map = self.clone();
+        for index in 0..SECTION_COUNT {
+            if map.known_version(index).map(era::era_of) != Some(era) {
+                map.sections[index] = Arc::new(MapSection::unowned(index, era));
+                map.versions[index] = 0;
+            }
+        }
+        map
+    }
+
+    /// Returns whether all keys of a range were assigned to owners in an era.
+    pub fn is_assigned_in(&self, era: Era, range: KeyRange) -> bool {
+        split_by_section(range).all(|part| {
+            let section = section_of(part.first);
+            let version = self.known_version(section);
+            let mut overlapping = self.sections[section]
+                .assignments
+                .iter()
+                .filter(|a| a.range.overlaps(&part));
+            version.map(era::era_of) == Some(era) && overlapping.all(|a| !a.is_unassigned())
+        })
+    }
+
+    /// Returns the map after owners have claimed what their upstreams hold since an
+    /// earlier era. A claim of keys that were assigned in this era comes too late.
+    pub fn with_claims(&self, claims: &[(Owner, Vec<Claim>)]) -> Self {
+        let mut next = self.clone();
+        for section in &mut next.sections {
+            if let Some(changed) = section.with_claims(claims) {
+                *section = Arc::new(changed);
+            }
+        }
+        next
+    }
+
     /// Returns a section.
     pub fn section(&self, index: SectionIndex) -> &Arc<MapSection> {
         &self.sections[index]
@@ -265,11 +313,12 @@
 }
 
 impl MapSection {
-    /// Returns a section in which every key is unowned.
-    pub fn unowned(index: SectionIndex) -> Self {
+    /// Returns a section in which no key was assigned in an era yet. The epochs of
+    /// an era, and with them its fences, are above those of all earlier eras.
+    pub fn unowned(index: SectionIndex, era: Era) -> Self {
         Self {
             index,
-            epoch: 0,
+            epoch: era << EPOCH_BITS,
             assignments: vec![Assignment {
                 range: section_span(index),
                 owner: None,
@@ -300,6 +349,33 @@
         &self.assignments[index]
     }
 
+    /// Returns the section after claims of keys that were not assigned yet; none if
+    /// there are no such.
+    fn with_claims(&self, claims: &[(Owner, Vec<Claim>)]) -> Option<Self> {
+        let mut changes: Vec<Assignment> = Vec::new();
+        for unassigned in self.assignments.iter().filter(|a| a.is_unassigned()) {
+            for (owner, claims) in claims {
+                for claim in claims {
+                    let Some(range) = claim.range.intersection(&unassigned.range) else {
+                        continue;
+                    };
+                    if changes.iter().any(|change| change.range.overlaps(&range)) {
+                        log::error!(first = range.first, last = range.last, node = &*owner.node;
+                            "two nodes claim the same keys; the first claim counts");
+                        continue;
+                    }
+                    changes.push(Assignment {
+                        range,
+                        owner: Some(owner.clone()),
+                        fence: claim.fence,
+                        handover: None,
+                    });
+                }
+            }
+        }
+        (!changes.is_empty()).then(|| self.with_changes(self.epoch + 1, &changes))
+    }
+
     /// Returns the section after the transfers within it.
     fn with_transfers(&self, transfers: &[Transfer]) -> Self {
         let epoch = self.epoch + 1;
@@ -365,6 +441,14 @@
     }
 }
 
+/// Low bits of an epoch, which count the changes of one era.
+const EPOCH_BITS: u32 = 32;
+
+/// Returns the era of a section's epoch.
+pub fn era_of_epoch(epoch: u64) -> Era {
+    epoch >> EPOCH_BITS
+}
+
 /// Returns the fence of a change; unique within the service, since no two sections
 /// share a remainder.
 fn fence_of(epoch: u64, section: SectionIndex) -> Fence {
@@ -372,6 +456,11 @@
 }
 
 impl Assignment {
+    /// Returns whether the keys were not assigned to any owner in the present era.
+    pub fn is_unassigned(&self) -> bool {
+        self.owner.is_none() && self.fence == 0
+    }
+
     fn is_equal_except_range(&self, other: &Assignment) -> bool {
         self.owner == other.owner && self.fence == other.fence && self.handover == other.handover
     }
--- a/crates/ranges/src/maps.rs
+++ b/crates/ranges/src/maps.rs
@@ -1,7 +1,7 @@
 //! Replicas of the range maps of all divided services, and their exchange
 //! between nodes as deltas of sections.
 
-use crate::map::{Assignment, MapSection, RangeMap, SECTION_COUNT, SectionIndex};
+use crate::map::{Assignment, MapSection, RangeMap, SECTION_COUNT, SectionIndex, era_of_epoch};
 use event_listener::{Event, EventListener};
 use ibiscove_types::{RowVersion, ServiceName};
 use serde::{Deserialize, Serialize};
@@ -108,7 +108,10 @@
             return false;
         }
         let mut changes = None;
-        if known_version > 0 {
+        if era_of_epoch(current.epoch()) != era_of_epoch(section.epoch()) {
+            // The states of an earlier era may have parted from those of this one.
+            deltas[section.index()].clear();
+        } else if known_version > 0 {
             let deltas = &mut deltas[section.index()];
             let delta = SectionChanges {
                 from_epoch: current.epoch(),
@@ -174,7 +177,11 @@
                 let Some(current) = self.known_section(service, section) else {
                     return false;
                 };
-                if current.epoch() < delta.from_epoch || current.epoch() >= delta.to_epoch {
+                let is_of_era = era_of_epoch(delta.from_epoch) == era_of_epoch(delta.to_epoch);
+                if !is_of_era
+                    || current.epoch() < delta.from_epoch
+                    || current.epoch() >= delta.to_epoch
+                {
                     return false;
                 }
                 let next = current.with_changes(delta.to_epoch, &delta.changes);
--- a/crates/ranges/src/rows.rs
+++ b/crates/ranges/src/rows.rs
@@ -1,9 +1,12 @@
 //! The table rows of a divided service: one row for each section of its range
-//! map, and one lease row for each node that may own ranges. All are in one
-//! partition, so that one transaction can change the map and end a lease.
+//! map, and one lease row for each node that may own ranges. All rows of an era of
+//! the table are in one partition, so that one transaction can change the map and
+//! end a lease, and none that was decided in an earlier era changes a row of a later
+//! one.
 
-use crate::map::{MapSection, SECTION_COUNT, SectionIndex};
+use crate::map::{Claim, MapSection, Owner, SECTION_COUNT, SectionIndex};
 use ibiscove_store::RawRow;
+use ibiscove_store::era::Era;
 use ibiscove_types::{Incarnation, NodeName, RowVersion, UpstreamIncarnation};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -17,6 +20,10 @@
     pub incarnation: Incarnation,
     /// The upstream incarnation at that time.
     pub life: UpstreamIncarnation,
+    /// Ranges that the upstream holds since an earlier era and that the map does not
+    /// show yet.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub claims: Vec<Claim>,
 }
 
 /// Why a row is invalid.
@@ -48,26 +55,29 @@
     },
 }
 
-/// Returns the prefix of all rows of a service: table and partition.
-pub fn prefix(service: &str) -> String {
-    format!("ranges/{service}/")
+/// Returns the prefix of all rows of a service in an era: table and partition.
+pub fn prefix(service: &str, era: Era) -> String {
+    match era {
+        0 => format!("ranges/{service}/"),
+        _ => format!("ranges/{service}@{era}/"),
+    }
 }
 
 /// Returns the key of a section of a service's map.
-pub fn section_key(service: &str, section: SectionIndex) -> String {
-    format!("ranges/{service}/map-{section:02}")
+pub fn section_key(service: &str, era: Era, section: SectionIndex) -> String {
+    format!("{}map-{section:02}", prefix(service, era))
 }
 
 /// Returns the section whose key this is.
-pub fn section_of_key(service: &str, key: &str) -> Option<SectionIndex> {
+pub fn section_of_key(service: &str, era: Era, key: &str) -> Option<SectionIndex> {
     let (_, index) = key.rsplit_once("/map-")?;
     let section = index.parse().ok().filter(|index| *index < SECTION_COUNT)?;
-    (section_key(service, section) == key).then_some(section)
+    (section_key(service, era, section) == key).then_some(section)
 }
 
 /// Returns the key of a node's lease row.
-pub fn lease_key(service: &str, node: &str) -> String {
-    format!("ranges/{service}/lease-{node}")
+pub fn lease_key(service: &str, era: Era, node: &str) -> String {
+    format!("{}lease-{node}", prefix(service, era))
 }
 
 /// Parses a row that holds a section of the map.
@@ -97,21 +107,24 @@
     pub sections: Vec<(RowVersion, Arc<MapSection>)>,
     /// Version of each lease row, by node.
     pub leases: Vec<(NodeName, RowVersion)>,
+    /// Ranges that lease rows claim.
+    pub claims: Vec<(Owner, Vec<Claim>)>,
 }
 
 impl Snapshot {
     /// Parses the rows of a scan. Rows with an unknown key are counted and
     /// ignored.
-    pub fn parse(service: &str, rows: &[(String, RawRow)]) -> Result<Self, RowError> {
+    pub fn parse(service: &str, era: Era, rows: &[(String, RawRow)]) -> Result<Self, RowError> {
         let mut snapshot = Self::default();
-        let earlier_key = format!("{}map", prefix(service));
-        let lease_prefix = lease_key(service, "");
+        let earlier_key = format!("{}map", prefix(service, era));
+        let lease_prefix = lease_key(service, era, "");
         for (key, row) in rows {
-            if let Some(section) = section_of_key(service, key) {
+            if let Some(section) = section_of_key(service, era, key) {
                 let parsed = parse_section(key, section, row)?;
                 snapshot.sections.push((row.version, Arc::new(parsed)));
             } else if let Some(node) = key.strip_prefix(&lease_prefix) {
                 snapshot.leases.push((node.into(), row.version));
+                snapshot.claims.extend(parse_claims(key, row));
             } else if *key == earlier_key {
                 return Err(RowError::EarlierFormat { key: key.clone() });
             } else {
@@ -128,3 +141,22 @@
         lease.map(|(_, version)| *version)
     }
 }
+
+/// Returns the claims of a lease row. A row whose content is unknown still is a
+/// lease, as which only its version counts.
+fn parse_claims(key: &str, row: &RawRow) -> Option<(Owner, Vec<Claim>)> {
+    match serde_json::from_slice::<LeaseRow>(&row.body) {
+        Ok(lease) if lease.claims.is_empty() => None,
+        Ok(lease) => Some((
+            Owner {
+                node: lease.node,
+                life: lease.life,
+            },
+            lease.claims,
+        )),
+        Err(err) => {
+            log::warn!("the claims of row {key} are ignored, since it is malformed: {err}");
+            None
+        }
+    }
+}
--- a/crates/ranges/tests/explorer/regressions.rs
+++ b/crates/ranges/tests/explorer/regressions.rs
@@ -165,6 +165,7 @@
             max_clock_drift: -0.5,
             ..GrantSettings::default()
         },
+        ..ControllerSettings::default()
     };
     assert!(
         violates_exclusivity_within(200, settings),
@@ -282,3 +283,30 @@
     });
     assert!(detected, "no seed violated an invariant");
 }
+
+/// Guards against a node that wakes in a later era of the table with an expired lease
+/// and grants what its upstream held before: nobody has been assigned the keys yet,
+/// but they may be.
+#[test]
+fn node_that_sleeps_through_a_restore_keeps_nothing_of_the_earlier_era() {
+    for seed in 0..40 {
+        let cluster = cluster(seed);
+        let suspended = 1;
+        cluster.table.inject(suspended, TableFaults::UNAVAILABLE);
+        let index = cluster.sim_index(suspended);
+        cluster.sim.suspend(index, secs(11));
+        let before = cluster.sim.now();
+        cluster.schedule(before + secs(2), move |cluster| {
+            cluster.table.restore(before.saturating_sub(secs(6)));
+        });
+        cluster.schedule(before + secs(8), move |cluster| {
+            cluster.table.inject(suspended, TableFaults::default());
+        });
+        cluster.sim.run_until(before + secs(40));
+        let violations = cluster.upstreams.violations();
+        assert!(violations.is_empty(), "seed {seed}: {violations:?}");
+        let unheld = cluster.upstreams.unheld_keys();
+        assert!(unheld.is_empty(), "seed {seed}: nobody holds {unheld:?}");
+        cluster.finish();
+    }
+}
