Nodes register in the directory again after the store returned from a copy

Cause: a node writes its directory row once, at its start. If the copy is older, the row is gone, and a node that starts later does not find it; nor does the other know the newcomer.

In each new era of the table a node registers and reads the directory again, within a second and a half, at random moments.

--- a/crates/router/src/join.rs
+++ b/crates/router/src/join.rs
@@ -16,6 +16,12 @@
 /// not responded.
 const INTRODUCTION_PERIOD: Duration = Duration::from_secs(10);
 
+/// Longest delay before a node registers again in a new era of the table, so that
+/// not all nodes do so at once.
+const MAX_REJOIN_DELAY: Duration = Duration::from_millis(1_000);
+/// Interval between two checks for a new era, which make no calls.
+const ERA_POLL_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Addresses from the directory. Clones share them.
 #[derive(Clone, Default)]
 pub(crate) struct DirectoryAddresses(Arc<Mutex<Vec<IpAddr>>>);
@@ -37,8 +43,26 @@
     /// Registers this node, reads the directory and sends heartbeats to all nodes.
     ///
     /// Of two nodes that start at the same time, the one that registers later
-    /// reads the other's row, and each responds to the other's heartbeats.
+    /// reads the other's row, and each responds to the other's heartbeats. After the
+    /// table has returned from an earlier copy, which may lack rows, nodes register
+    /// again.
     pub(crate) async fn join(self, addresses: DirectoryAddresses) {
+        let clock = &self.inner.clock;
+        let mut joined_in = None;
+        loop {
+            let era = self.inner.table.era();
+            if joined_in.is_none() || era != joined_in {
+                if joined_in.is_some() {
+                    clock.sleep(MAX_REJOIN_DELAY.mul_f64(fastrand::f64())).await;
+                }
+                self.introduce(&addresses).await;
+                joined_in = self.inner.table.era();
+            }
+            clock.sleep(ERA_POLL_INTERVAL).await;
+        }
+    }
+
+    async fn introduce(&self, addresses: &DirectoryAddresses) {
         let clock = &self.inner.clock;
         let nodes = loop {
             match self.register().await {
