--- a/crates/ranges/tests/explorer/regressions.rs
+++ b/crates/ranges/tests/explorer/regressions.rs
@@ -294,7 +294,10 @@
         let suspended = 1;
         cluster.table.inject(suspended, TableFaults::UNAVAILABLE);
         let index = cluster.sim_index(suspended);
-        cluster.sim.suspend(index, secs(11));
+        // It wakes shortly before or after the others may assign what it held.
+        cluster
+            .sim
+            .suspend(index, secs(11) + Duration::from_millis(100 * seed));
         let before = cluster.sim.now();
         cluster.schedule(before + secs(2), move |cluster| {
             cluster.table.restore(before.saturating_sub(secs(6)));
