Ranges without an owner are collected once for each look at the grants

Each look compared every held range with every range of the map, many times a second on each node; with hundreds of owners that is thousands of ranges each. They are almost always none. No behaviour changes; not measured.

--- a/crates/ranges/src/controller/eras.rs
+++ b/crates/ranges/src/controller/eras.rs
@@ -125,15 +125,18 @@
 /// Returns what the upstream holds although the map has not assigned it to anyone in
 /// its era.
 fn claimable(grants: &Grants, map: &RangeMap) -> Vec<Claim> {
-    let mut claims = Vec::new();
-    for held in grants.held() {
-        let unassigned = map.assignments().filter(|a| a.is_unassigned());
-        claims.extend(unassigned.filter_map(|a| {
-            let range = a.range.intersection(&held.range)?;
-            Some(Claim { range, ..held })
-        }));
+    let unassigned = map.assignments().filter(|a| a.is_unassigned());
+    let unassigned: Vec<_> = unassigned.map(|a| a.range).collect();
+    if unassigned.is_empty() {
+        return Vec::new();
     }
-    claims
+    let claims_within = |held: Claim| {
+        let common = unassigned
+            .iter()
+            .filter_map(move |range| range.intersection(&held.range));
+        common.map(move |range| Claim { range, ..held })
+    };
+    grants.held().flat_map(claims_within).collect()
 }
 
 impl State {
