Requests that crash upstreams are quarantined after the third crash

Cause: nothing connects the copies of a request. Each attempt has an id of its own, a node forgets it with its answer, and no node hears of another's crash.

Change: the entry computes a fingerprint (method, host, path, calling service, body). A gate that loses a connection asks whether the upstream's process still listens; if it has crashed, the requests at work become suspects, run one at a time, are cleared by a copy that ends well, and are refused everywhere after three crashes one after the other. News and heartbeats carry the records, and the table those of requests in quarantine (docs/quarantine.md).

crates/router/tests/crashing_requests.rs plays it between real nodes: a node that starts later, the loss of all nodes, copies at all nodes at once, innocent popular requests, planned stops. It can't pass before: nothing said quarantined.

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -28,6 +28,11 @@
         Self { chunks, rest: None }
     }
 
+    /// Returns whether all of it is in memory.
+    pub fn is_whole(&self) -> bool {
+        self.rest.is_none()
+    }
+
     /// Returns a body of chunks already read and the rest that follows them. The
     /// guard is dropped once the rest has been read to its end.
     pub fn streamed(chunks: VecDeque<Bytes>, rest: Option<(Incoming, G)>) -> Self {
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -73,6 +73,12 @@
     pub fn is_unsent(&self) -> bool {
         !matches!(self, SendError::Lost { .. })
     }
+
+    /// Returns whether no process listens at the address.
+    pub fn is_connection_refused(&self) -> bool {
+        matches!(self, SendError::Connect { cause, .. }
+            if cause.kind() == io::ErrorKind::ConnectionRefused)
+    }
 }
 
 /// A pool of reusable connections. Clones share it.
@@ -204,6 +210,25 @@
         connections.any(|idle| is_reusable(idle, now, max_idle))
     }
 
+    /// Returns whether an address refuses connections, so that no process listens
+    /// there. A connection that it accepts is kept for reuse.
+    pub async fn is_refused(&self, addr: SocketAddr) -> bool {
+        match self.connect(addr).await {
+            Ok(connection) => {
+                let max_idle = self.inner.settings.max_idle;
+                let connection = PooledConnection {
+                    pool: self.clone(),
+                    addr,
+                    connection,
+                    reusable_until: Some(Instant::now() + max_idle),
+                };
+                connection.return_to_pool();
+                false
+            }
+            Err(err) => err.is_connection_refused(),
+        }
+    }
+
     /// Closes connections that can no longer be reused.
     pub fn prune(&self) {
         let now = Instant::now();
--- a/crates/mesh/src/heartbeat.rs
+++ b/crates/mesh/src/heartbeat.rs
@@ -4,7 +4,9 @@
 use crate::members::{Member, Members, Upstream};
 use event_listener::Event;
 use ibiscove_types::{Clock, ServiceName, UpstreamIncarnation};
-use ibiscove_wire::messages::{Presence, RangeMapChange, RangeMapEpoch, UpstreamPresence};
+use ibiscove_wire::messages::{
+    Presence, RangeMapChange, RangeMapEpoch, RequestCrashes, UpstreamPresence,
+};
 use ibiscove_wire::{CodecError, decode, encode};
 use smol::future::FutureExt;
 use smol::net::UdpSocket;
@@ -16,6 +18,15 @@
 /// networks.
 const MAX_DATAGRAM: usize = 1_400;
 
+/// What a node tells others because it has just learned it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct News {
+    /// Changes of range maps.
+    pub map_changes: Vec<RangeMapChange>,
+    /// Requests beside which upstreams have crashed, or that were cleared.
+    pub crashes: Vec<RequestCrashes>,
+}
+
 /// Sends heartbeats when they are due, until the task is dropped.
 ///
 /// `own_presence` returns this node's state, `push_requested` makes the next
@@ -56,16 +67,17 @@
     socket: UdpSocket,
     members: Members,
     own_presence: impl Fn() -> Presence,
-    mut next_news: impl AsyncFnMut() -> Vec<Vec<RangeMapChange>>,
+    mut next_news: impl AsyncFnMut() -> Vec<News>,
 ) {
     let Ok(port) = socket.local_addr().map(|addr| addr.port()) else {
         log::error!("the heartbeat socket has no address; no news are sent");
         return;
     };
     loop {
-        for changes in next_news().await {
+        for news in next_news().await {
             let presence = Presence {
-                map_changes: Some(changes).filter(|changes| !changes.is_empty()),
+                map_changes: Some(news.map_changes).filter(|changes| !changes.is_empty()),
+                crashes: Some(news.crashes).filter(|crashes| !crashes.is_empty()),
                 ..own_presence()
             };
             let targets = members.sample(SPREAD_FANOUT, &mut fastrand::Rng::new());
@@ -99,12 +111,12 @@
 const COALESCE_DELAY: Duration = Duration::from_millis(10);
 
 /// Receives heartbeats until the task is dropped. `on_heartbeat` is called with
-/// the member that each one describes, whether it is new, and the news.
+/// the member that each one describes, whether it is new, and what else it carries.
 pub async fn receive<C: Clock>(
     socket: UdpSocket,
     members: Members,
     clock: C,
-    on_heartbeat: impl Fn(&Member, bool, Vec<RangeMapChange>),
+    on_heartbeat: impl Fn(&Member, bool, Content),
 ) {
     let mut buf = [0; MAX_DATAGRAM];
     loop {
@@ -116,9 +128,9 @@
             }
         };
         match decode_member(&buf[..len], from, clock.now()) {
-            Ok((member, news)) => {
+            Ok((member, content)) => {
                 let change = members.apply_heartbeat(member.clone());
-                on_heartbeat(&member, change.is_new, news);
+                on_heartbeat(&member, change.is_new, content);
             }
             Err(err) => {
                 metrics::counter!("ibiscove_heartbeats_malformed_total").increment(1);
@@ -139,16 +151,32 @@
     Range(&'static str),
 }
 
+/// What a heartbeat carries beside the state of its sender.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Content {
+    /// What the sender has just learned.
+    pub news: News,
+    /// Hash of all that it knows of requests beside which upstreams have crashed; 0 if
+    /// that is nothing.
+    pub crashes_digest: u64,
+}
+
 /// Decodes a heartbeat that was received from `from`.
 pub fn decode_member(
     datagram: &[u8],
     from: SocketAddr,
     now: Instant,
-) -> Result<(Member, Vec<RangeMapChange>), HeartbeatError> {
+) -> Result<(Member, Content), HeartbeatError> {
     let presence: Presence = decode(datagram)?;
     let out_of_range = HeartbeatError::Range;
     let port = u16::try_from(presence.gate_port).map_err(|_| out_of_range("gate_port"))?;
-    let news = presence.map_changes.unwrap_or_default();
+    let content = Content {
+        news: News {
+            map_changes: presence.map_changes.unwrap_or_default(),
+            crashes: presence.crashes.unwrap_or_default(),
+        },
+        crashes_digest: presence.crashes_digest.unwrap_or_default() as u64,
+    };
     let member = Member {
         name: presence.node.into(),
         incarnation: presence.incarnation as u64,
@@ -168,7 +196,7 @@
         lease_version: presence.lease_version as u64,
         last_heartbeat: now,
     };
-    Ok((member, news))
+    Ok((member, content))
 }
 
 fn decode_upstream(presence: UpstreamPresence) -> Result<Upstream, HeartbeatError> {
--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -11,6 +11,7 @@
 use crate::refusal::Refusal;
 use crate::relay::RelayedResponse;
 use crate::routes::ConfigCell;
+use crate::suspects::Suspects;
 use crate::upstream_notice::KnownNotices;
 use crate::upstream_selection::{RoundTripEstimates, UpstreamSelector};
 use hyper::Request;
@@ -99,6 +100,8 @@
     pub local_upstream: LocalUpstream,
     /// The gate of the local upstream.
     pub gate: Gate<K, C>,
+    /// What this node knows of crashes.
+    pub suspects: Suspects,
     /// Connections to other nodes.
     pub pool: Pool,
     /// Memory for the bodies of requests.
@@ -172,6 +175,7 @@
         }
         self.inner.selector.prune(&self.inner.deps.members);
         self.inner.notices.prune(&self.inner.deps.members);
+        self.inner.deps.suspects.prune(self.deps().clock.now());
         self.inner.deps.pool.prune();
     }
 
@@ -227,7 +231,7 @@
     ) -> Result<RelayedResponse<Permit<K, C>>, Refusal> {
         let reading = self.read_body(body, plan.max_body_bytes, plan.metadata.deadline);
         let (body, _reservation) = reading.await?;
-        plan.outbound.body = body;
+        plan.set_body(body);
         self.serve_with_retries(plan).await
     }
 
@@ -397,9 +401,14 @@
             _ => refusal.retry_after,
         };
         let wait = wait.max(settings.min_retry_after).mul_f64(jitter);
+        let retry_after = match refusal.reason {
+            // Its caller can't be served before its deadline.
+            Reason::Quarantined => refusal.retry_after,
+            _ => wait.min(remaining.mul_f64(settings.max_retry_after_share)),
+        };
         Refusal {
             outcome,
-            retry_after: wait.min(remaining.mul_f64(settings.max_retry_after_share)),
+            retry_after,
             ..refusal
         }
     }
--- a/crates/proxy/src/entry/attempt.rs
+++ b/crates/proxy/src/entry/attempt.rs
@@ -24,6 +24,12 @@
         rng: &mut fastrand::Rng,
     ) -> Result<RelayedResponse<Permit<K, C>>, Refusal> {
         let now = self.deps().clock.now();
+        let fingerprint = plan.metadata.fingerprint;
+        let crash_record = self.deps().suspects.record(fingerprint);
+        if crash_record.is_some_and(|record| record.suspicion.is_quarantined()) {
+            return Err(Refusal::quarantined());
+        }
+        plan.metadata.crash_record = crash_record;
         let target = match plan.is_divided {
             true => self.owner_target(plan, attempts, now)?,
             false => self.select_upstream(plan, attempts, rng, now)?,
@@ -107,7 +113,15 @@
         if let Some(candidate) = self.local_candidate(&plan.metadata.service, attempts) {
             candidates.add_local(&local.node, candidate);
         }
-        let target = self.inner.selector.choose(&candidates, rng);
+        let suspect = plan
+            .metadata
+            .crash_record
+            .filter(|record| record.suspicion.is_suspect());
+        let target = match suspect {
+            // Nodes choose the same upstream, whose gate runs one copy at a time.
+            Some(record) => candidates.choose_by_hash(record.fingerprint),
+            None => self.inner.selector.choose(&candidates, rng),
+        };
         let target = target
             .ok_or(Refusal::not_run(Reason::NoUpstream).with_retry_after(NO_OWNER_RETRY_AFTER))?;
         attempts.has_unattempted = candidates.has_unattempted();
@@ -167,6 +181,8 @@
             deps.members
                 .record_load(&target.node, load, service_time, concurrency);
         }
+        deps.suspects
+            .merge_header(exchange.response.headers(), &target.node, deps.clock.now());
         let refusal = Refusal::from_response(&exchange.response);
         self.inner.notices.record(
             &target.node,
--- a/crates/proxy/src/entry/plan.rs
+++ b/crates/proxy/src/entry/plan.rs
@@ -6,11 +6,12 @@
 use crate::headers::{self, HeaderNames};
 use crate::refusal::Refusal;
 use crate::routes::Route;
+use bytes::Bytes;
 use hyper::HeaderMap;
 use hyper::header::HOST;
 use hyper::http::uri::PathAndQuery;
 use ibiscove_routing::admission;
-use ibiscove_types::{Clock, Key, Reason};
+use ibiscove_types::{Clock, FingerprintParts, Key, Reason};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -19,6 +20,8 @@
     pub(super) route: Arc<Route>,
     pub(super) metadata: RequestMetadata,
     pub(super) outbound: OutboundRequest,
+    /// The host by which the route was found.
+    pub(super) host: Box<str>,
     pub(super) is_divided: bool,
     /// Whether it is a nested call, which an upstream makes while it runs another
     /// request.
@@ -46,8 +49,8 @@
             .uri
             .host()
             .or_else(|| headers::text(&head.headers, &HOST));
-        let route = host
-            .and_then(|host| table.find(host, path_and_query.path()))
+        let (host, route) = host
+            .and_then(|host| Some((host, table.find(host, path_and_query.path())?)))
             .ok_or(Refusal::not_run(Reason::NoRoute))?;
         let request_id: Arc<str> = match headers::text(&head.headers, &names.request_id) {
             Some(id) => id.into(),
@@ -84,6 +87,8 @@
             caller_service: deps.identity.service.clone(),
             entry_node: Arc::clone(&deps.identity.node),
             upstream_notice: None,
+            fingerprint: None,
+            crash_record: None,
         };
         let outbound = OutboundRequest {
             method: head.method.clone(),
@@ -95,6 +100,7 @@
             route: Arc::clone(route),
             metadata,
             outbound,
+            host: host.into(),
             is_divided,
             is_nested: observed_timeouts.is_nested(),
             max_body_bytes: table.limits.max_body_bytes,
@@ -103,6 +109,21 @@
     }
 }
 
+impl RequestPlan {
+    /// Adds the body, by which the request's fingerprint is complete.
+    pub(super) fn set_body(&mut self, body: Bytes) {
+        let caller_service = self.metadata.caller_service.as_deref();
+        self.metadata.fingerprint = Some(ibiscove_types::fingerprint(FingerprintParts {
+            method: self.outbound.method.as_str(),
+            host: &self.host,
+            path_and_query: self.outbound.path_and_query.as_str(),
+            caller_service: caller_service.unwrap_or_default(),
+            body: &body,
+        }));
+        self.outbound.body = body;
+    }
+}
+
 /// Time after which a caller may retry at a node without a configuration.
 const NO_CONFIGURATION_RETRY_AFTER: Duration = Duration::from_millis(300);
 
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -4,7 +4,10 @@
 use crate::upstream_notice::NoticeReport;
 use hyper::HeaderMap;
 use ibiscove_routing::admission::Priority;
-use ibiscove_types::{Key, NodeName, ServiceName};
+use ibiscove_routing::quarantine::CrashRecord;
+use ibiscove_types::{
+    Fingerprint, Key, NodeName, ServiceName, format_fingerprint, parse_fingerprint,
+};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -38,6 +41,10 @@
     pub entry_node: NodeName,
     /// What the entry knows that the upstream has said about itself.
     pub upstream_notice: Option<NoticeReport>,
+    /// Identifies copies of the request; none from a node that does not tell.
+    pub fingerprint: Option<Fingerprint>,
+    /// What the entry knows of crashes beside copies of the request.
+    pub crash_record: Option<CrashRecord>,
 }
 
 /// The header's content as JSON. Times are relative because clocks differ.
@@ -59,6 +66,10 @@
     entry: NodeName,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     notice: Option<NoticeReport>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    fingerprint: Option<String>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    crashes: Option<CrashRecord>,
 }
 
 impl RequestMetadata {
@@ -82,6 +93,8 @@
             origin: self.caller_service.clone(),
             entry: Arc::clone(&self.entry_node),
             notice: self.upstream_notice.clone(),
+            fingerprint: self.fingerprint.map(format_fingerprint),
+            crashes: self.crash_record,
         };
         to.insert(FORWARD, headers::value(&serde_json::to_string(&fields)?));
         Ok(())
@@ -104,6 +117,8 @@
             caller_service: fields.origin,
             entry_node: fields.entry,
             upstream_notice: fields.notice.filter(NoticeReport::is_valid),
+            fingerprint: fields.fingerprint.as_deref().and_then(parse_fingerprint),
+            crash_record: fields.crashes,
         })
     }
 }
--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -4,6 +4,7 @@
 //! or refuses the excess, and checks that each response belongs to its request.
 //! A request fails as `not-run` only if the upstream certainly did not run it.
 
+mod crashes;
 mod exchange;
 mod load;
 
@@ -14,6 +15,7 @@
 use crate::local_upstream::{LocalUpstream, ObservedUpstream};
 use crate::refusal::Refusal;
 use crate::relay::RelayedResponse;
+use crate::suspects::{self, Suspects};
 use crate::upstream_notice::NoticeReport;
 use bytes::Bytes;
 use event_listener::Event;
@@ -24,6 +26,7 @@
 use ibiscove_routing::admission::{
     AdmissionController, AdmissionDecision, AdmissionRequest, Dequeued, Ticket,
 };
+use ibiscove_routing::crash_watch::{CrashWatch, SendId};
 use ibiscove_routing::hang_detector::HangDetector;
 use ibiscove_routing::latency_estimate::LatencyEstimate;
 use ibiscove_store::Table;
@@ -139,12 +142,14 @@
     names: HeaderNames,
     clock: C,
     local_upstream: LocalUpstream,
+    suspects: Suspects,
     pool: Pool,
     /// Set once the configuration declares the upstream's service as divided.
     key_ownership: OnceLock<K>,
     admission: Mutex<AdmissionController<Waiter<K, C>>>,
     latencies: Mutex<Latencies>,
     hang_detector: Mutex<HangDetector>,
+    crash_watch: Mutex<CrashWatch<Option<suspects::Copy>>>,
     /// Notified when a queued request may have to wait for the upstream's limit.
     pacing_due: Event,
     /// Whether the gate refuses all new requests, because the node is about to
@@ -188,6 +193,7 @@
 /// means that it was abandoned.
 struct SentRequest<K, C> {
     gate: Arc<Inner<K, C>>,
+    id: SendId,
     deadline: Instant,
     is_done: bool,
 }
@@ -198,9 +204,13 @@
 
 impl<K, C> Drop for SentRequest<K, C> {
     fn drop(&mut self) {
-        // A caller that disconnects earlier does not indicate a hung upstream.
+        if self.is_done {
+            return;
+        }
         let now = Instant::now();
-        if !self.is_done && now + MAX_CLOCK_DIFFERENCE >= self.deadline {
+        self.gate.record_loss(self.id, now);
+        // A caller that disconnects earlier does not indicate a hung upstream.
+        if now + MAX_CLOCK_DIFFERENCE >= self.deadline {
             Inner::record_attempt(&self.gate, false, now);
         }
     }
@@ -264,6 +274,12 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn crash_watch(&self) -> MutexGuard<'_, CrashWatch<Option<suspects::Copy>>> {
+        self.crash_watch
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn latencies(&self) -> MutexGuard<'_, Latencies> {
         self.latencies
             .lock()
@@ -291,6 +307,7 @@
         names: HeaderNames,
         clock: C,
         local_upstream: LocalUpstream,
+        suspects: Suspects,
         pool: Pool,
     ) -> Self {
         Self {
@@ -299,11 +316,13 @@
                 names,
                 clock,
                 local_upstream,
+                suspects,
                 pool,
                 key_ownership: OnceLock::new(),
                 admission: Mutex::new(AdmissionController::new(1)),
                 latencies: Mutex::default(),
                 hang_detector: Mutex::default(),
+                crash_watch: Mutex::default(),
                 pacing_due: Event::new(),
                 is_closed: AtomicBool::new(false),
             }),
@@ -422,6 +441,7 @@
             self.adopt_report(report);
         }
         let upstream = self.check_admission(metadata).map_err(Refusal::not_run)?;
+        let _turn = self.take_turn(metadata).await?;
         let permit = self.acquire_permit(metadata, &upstream).await?;
         // The state may have changed while the request was queued.
         let upstream = self.check_admission(metadata).map_err(Refusal::not_run)?;
@@ -436,6 +456,7 @@
             false => self.inner.settings.max_idle_non_idempotent,
         };
         let addr = self.inner.local_upstream.addr();
+        let mut sent = self.begin_send(metadata, &upstream);
         metrics::counter!("ibiscove_upstream_requests_total").increment(1);
         let exchange = async {
             match self.inner.pool.send(addr, req, max_idle).await {
@@ -451,14 +472,10 @@
             self.inner.clock.sleep(limit).await;
             Err(Refusal::unknown(Reason::DeadlineExceeded))
         };
-        let mut sent = SentRequest {
-            gate: Arc::clone(&self.inner),
-            deadline: metadata.deadline,
-            is_done: false,
-        };
         let result = exchange.or(timeout).await;
         sent.is_done = true;
         let now = self.inner.clock.now();
+        self.record_end(metadata, &upstream, sent.id, &result).await;
         let elapsed = now.saturating_duration_since(started);
         if let (Some(key), Some(keys)) = (metadata.key, self.inner.key_ownership.get()) {
             keys.record_work(key, elapsed);
--- a/crates/proxy/src/gate/exchange.rs
+++ b/crates/proxy/src/gate/exchange.rs
@@ -11,7 +11,6 @@
 use hyper::{HeaderMap, StatusCode};
 use ibiscove_http::{Exchange, SendError};
 use ibiscove_types::{Clock, Reason};
-use std::io;
 use std::time::{Duration, Instant};
 
 impl<K: KeyOwnership, C: Clock> Gate<K, C> {
@@ -114,15 +113,8 @@
         log::info!(request = &*metadata.request_id,
             upstream = &*upstream.announcement.incarnation.id;
             "the upstream gave no answer: {err}");
-        if let SendError::Connect { cause, .. } = err
-            && cause.kind() == io::ErrorKind::ConnectionRefused
-            && self
-                .inner
-                .local_upstream
-                .record_connection_refused(&upstream.announcement.incarnation)
-            && let Some(keys) = self.inner.key_ownership.get()
-        {
-            keys.record_upstream_ended();
+        if err.is_connection_refused() {
+            self.record_process_ended(&upstream.announcement.incarnation);
         }
         match err.is_unsent() {
             true => Refusal::not_run(Reason::UpstreamUnreachable),
--- a/crates/proxy/src/headers.rs
+++ b/crates/proxy/src/headers.rs
@@ -16,6 +16,9 @@
 /// On a gate's response: what its upstream has said about itself, see
 /// [`crate::upstream_notice`].
 pub const UPSTREAM_NOTICE: HeaderName = HeaderName::from_static("ibiscove-upstream-notice");
+/// On a gate's response: what it knows of a request beside which upstreams have
+/// crashed, see [`crate::suspects`].
+pub const CRASH_RECORD: HeaderName = HeaderName::from_static("ibiscove-crash-record");
 /// On a refusal between nodes: milliseconds until there is free capacity.
 pub const RETRY_AFTER_MS: HeaderName = HeaderName::from_static("ibiscove-retry-after-ms");
 
@@ -79,7 +82,13 @@
 
 /// Removes the headers that are only for other nodes.
 pub fn remove_internode(headers: &mut HeaderMap) {
-    for name in [FORWARD, GATE_LOAD, UPSTREAM_NOTICE, RETRY_AFTER_MS] {
+    for name in [
+        FORWARD,
+        GATE_LOAD,
+        UPSTREAM_NOTICE,
+        CRASH_RECORD,
+        RETRY_AFTER_MS,
+    ] {
         headers.remove(name);
     }
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod refusal;
 pub mod relay;
 pub mod routes;
+pub mod suspects;
 pub mod upstream_notice;
 pub mod upstream_selection;
 
--- a/crates/proxy/src/local_upstream.rs
+++ b/crates/proxy/src/local_upstream.rs
@@ -387,6 +387,11 @@
         true
     }
 
+    /// Returns whether an incarnation of the upstream has said that it leaves.
+    pub fn has_left(&self, incarnation: &UpstreamIncarnation) -> bool {
+        matches!(&self.lock().leaving, Some((leaving, _)) if leaving == incarnation)
+    }
+
     /// Returns whether the upstream accepts new requests. While it drains, only
     /// that of a divided service does, for keys that it has not handed over and
     /// for a limited time.
--- a/crates/proxy/src/peer_api.rs
+++ b/crates/proxy/src/peer_api.rs
@@ -7,6 +7,7 @@
 use crate::refusal::Refusal;
 use crate::relay::RelayedResponse;
 use crate::routes::ConfigCell;
+use crate::suspects::Suspects;
 use hyper::body::Incoming;
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Request, Response};
@@ -15,7 +16,9 @@
 use ibiscove_ranges::RangeMaps;
 use ibiscove_ranges::map::SectionIndex;
 use ibiscove_ranges::maps::SectionUpdate;
+use ibiscove_routing::quarantine::CrashRecord;
 use ibiscove_types::{Clock, Outcome, Reason, ServiceName};
+use serde::Serialize;
 use smol::future::FutureExt;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -26,6 +29,9 @@
 /// Path under which a node serves its range maps. A service's name follows, and
 /// as the query the epochs of the requesting node's sections.
 const RANGES_PATH: &str = "/_ibiscove/ranges/";
+/// Path under which a node serves what it knows of requests beside which upstreams
+/// have crashed.
+const SUSPECTS_PATH: &str = "/_ibiscove/suspects";
 /// Largest body that is accepted from another node.
 const MAX_BODY_BYTES: usize = 64 << 20;
 /// Timeout for fetching a peer's configuration or map.
@@ -39,6 +45,8 @@
     pub config: ConfigCell,
     /// Its range maps.
     pub maps: RangeMaps,
+    /// What it knows of crashes.
+    pub suspects: Suspects,
     /// The clock.
     pub clock: C,
     /// Memory for the bodies of requests.
@@ -58,7 +66,12 @@
         if let Some(service) = path.strip_prefix(RANGES_PATH) {
             return self.map_updates(service, req.uri().query().unwrap_or_default());
         }
-        let mut response = match self.run_forwarded(req).await {
+        if path == SUSPECTS_PATH {
+            return respond_json("suspects", &self.suspects.records());
+        }
+        let metadata = RequestMetadata::read(req.headers(), self.clock.now());
+        let fingerprint = metadata.as_ref().and_then(|metadata| metadata.fingerprint);
+        let mut response = match self.run_forwarded(metadata, req).await {
             Ok(mut response) => {
                 let ran = headers::value(Outcome::Ran.as_str());
                 response.headers_mut().insert(OUTCOME, ran);
@@ -73,16 +86,19 @@
         if let Some(report) = self.gate.notice_report() {
             report.write(response.headers_mut());
         }
+        self.suspects
+            .write_header(fingerprint, response.headers_mut());
         response
     }
 
     async fn run_forwarded(
         &self,
+        metadata: Option<RequestMetadata>,
         req: Request<Incoming>,
     ) -> Result<RelayedResponse<Permit<K, C>>, Refusal> {
         let (head, body) = req.into_parts();
         let bad_header = Refusal::not_run(Reason::BadHeader);
-        let metadata = RequestMetadata::read(&head.headers, self.clock.now()).ok_or(bad_header)?;
+        let metadata = metadata.ok_or(bad_header)?;
         let path_and_query = head.uri.path_and_query().cloned().ok_or(bad_header)?;
         let mut forwarded_headers = head.headers;
         headers::remove_hop_by_hop(&mut forwarded_headers);
@@ -102,14 +118,17 @@
     /// epochs in the query.
     fn map_updates<G>(&self, service: &str, query: &str) -> Response<Body<G>> {
         let updates = self.maps.updates_since(service, &parse_epochs(query));
-        match serde_json::to_vec(&updates) {
-            Ok(body) => Response::new(Body::whole(body)),
-            Err(err) => {
-                log::error!(
-                    "the range map of {service} cannot be serialised and is not served: {err}"
-                );
-                Refusal::not_run(Reason::NoOwner).response()
-            }
+        respond_json("range map", &updates)
+    }
+}
+
+/// Responds to another node with `content`, named by `what` in the log.
+fn respond_json<G>(what: &str, content: &impl Serialize) -> Response<Body<G>> {
+    match serde_json::to_vec(content) {
+        Ok(body) => Response::new(Body::whole(body)),
+        Err(err) => {
+            log::error!(what = what; "cannot be serialised and is not served: {err}");
+            Refusal::not_run(Reason::NoOwner).response()
         }
     }
 }
@@ -183,6 +202,18 @@
     Ok(())
 }
 
+/// Fetches what a peer knows of requests beside which upstreams have crashed.
+pub async fn fetch_suspects(
+    pool: &Pool,
+    clock: &impl Clock,
+    peer: SocketAddr,
+) -> Result<Vec<CrashRecord>, FetchError> {
+    let path = PathAndQuery::from_static(SUSPECTS_PATH);
+    Ok(serde_json::from_slice(
+        &fetch(pool, clock, peer, path).await?,
+    )?)
+}
+
 async fn fetch(
     pool: &Pool,
     clock: &impl Clock,
--- a/crates/proxy/src/upstream_selection.rs
+++ b/crates/proxy/src/upstream_selection.rs
@@ -3,7 +3,7 @@
 
 use ibiscove_mesh::{Member, Members};
 use ibiscove_routing::placement::{self, Candidate, Distance, FailureRate};
-use ibiscove_types::{DataCentre, NodeName};
+use ibiscove_types::{DataCentre, Fingerprint, NodeName, checksum};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -125,6 +125,20 @@
         self.candidates.push(candidate);
     }
 
+    /// Selects the upstream with the highest hash for a request, among those that it
+    /// was not sent to yet (rendezvous hashing).
+    pub fn choose_by_hash(&self, fingerprint: Fingerprint) -> Option<Target> {
+        let targets = self.targets.iter().zip(&self.candidates);
+        let hash = |target: &Target| {
+            let mut bytes = fingerprint.to_be_bytes().to_vec();
+            bytes.extend_from_slice(target.node.as_bytes());
+            checksum(&bytes)
+        };
+        targets
+            .max_by_key(|(target, candidate)| (!candidate.was_attempted, hash(target)))
+            .map(|(target, _)| target.clone())
+    }
+
     /// Returns whether the request has not been sent to some upstream yet.
     pub fn has_unattempted(&self) -> bool {
         self.candidates
--- a/crates/router/src/catch_up.rs
+++ b/crates/router/src/catch_up.rs
@@ -1,13 +1,13 @@
 //! Anti-entropy: heartbeats carry the versions of each node's configuration and
 //! range maps, and a node fetches the newer ones from its peers.
 
-use crate::{Router, map_news};
+use crate::{Router, crash_news, map_news};
 use ibiscove_mesh::Member;
+use ibiscove_mesh::heartbeat::Content;
 use ibiscove_proxy::peer_api;
 use ibiscove_ranges::Grantee;
 use ibiscove_store::Table;
 use ibiscove_types::{BootClock, Clock, ServiceName};
-use ibiscove_wire::messages::RangeMapChange;
 use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -22,13 +22,16 @@
 impl<T: Table, G: Grantee, C: Clock + BootClock> Router<T, G, C> {
     /// Handles a heartbeat: applies its news and fetches what else its sender has
     /// newer.
-    pub(crate) fn handle_heartbeat(
-        &self,
-        member: &Member,
-        is_new: bool,
-        news: Vec<RangeMapChange>,
-    ) {
-        map_news::apply(&self.inner.maps, news);
+    pub(crate) fn handle_heartbeat(&self, member: &Member, is_new: bool, content: Content) {
+        map_news::apply(&self.inner.maps, content.news.map_changes);
+        let now = self.inner.clock.now();
+        crash_news::apply(
+            &self.inner.suspects,
+            content.news.crashes,
+            &member.name,
+            now,
+        );
+        self.compare_suspects(member, content.crashes_digest);
         if is_new {
             // The new member may not know this node yet.
             self.inner.heartbeat_due.notify(usize::MAX);
@@ -54,6 +57,39 @@
         }
     }
 
+    /// Fetches what a member knows of crashes if that differs from what this node
+    /// knows.
+    fn compare_suspects(&self, member: &Member, digest: u64) {
+        let suspects = &self.inner.suspects;
+        if digest != 0
+            && digest != suspects.digest()
+            && let Some(guard) = self.inner.active_fetches.begin(SUSPECTS_FETCH_NAME)
+        {
+            let fetch = self.clone().fetch_suspects(member.clone(), digest, guard);
+            smol::spawn(fetch).detach();
+        }
+    }
+
+    async fn fetch_suspects(self, peer: Member, digest: u64, _guard: FetchGuard) {
+        let inner = &self.inner;
+        let delay = MAX_MAP_FETCH_DELAY.mul_f64(fastrand::f64());
+        inner.clock.sleep(delay).await;
+        if !inner.suspects.begin_comparison(digest) {
+            return;
+        }
+        match peer_api::fetch_suspects(&inner.peers, &inner.clock, peer.gate).await {
+            Ok(records) => {
+                let now = inner.clock.now();
+                inner.suspects.merge(records, &peer.name, now);
+            }
+            Err(err) => {
+                inner.suspects.forget_comparison();
+                log::warn!(peer = &*peer.name;
+                    "what a peer knows of crashes was not fetched: {err}");
+            }
+        }
+    }
+
     async fn fetch_config(self, peer: Member, _guard: FetchGuard) {
         let inner = &self.inner;
         let delay = match (inner.config.version(), self.follows_config()) {
@@ -106,6 +142,8 @@
 /// Identifies the configuration among the active fetches; no service has this
 /// name.
 const CONFIG_FETCH_NAME: &str = "";
+/// Identifies what is known of crashes among them.
+const SUSPECTS_FETCH_NAME: &str = "/suspects";
 
 /// The active fetches by what they fetch, so that each is made only once. The
 /// heartbeats of all nodes announce a newer version while it is being fetched.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -5,12 +5,14 @@
 //! the crates that it assembles. See `docs/request-path.md`.
 
 mod catch_up;
+pub mod crash_news;
 mod join;
 mod maintenance;
 pub mod map_news;
 mod metrics_page;
 mod settings;
 mod shutdown;
+mod stored_suspects;
 
 pub use settings::{RouterAddrs, RouterSettings};
 
@@ -18,10 +20,12 @@
 use event_listener::Event;
 use ibiscove_http::body::BodyBudget;
 use ibiscove_http::{Pool, PoolSettings, Server, ServerSettings};
+use ibiscove_mesh::heartbeat::News;
 use ibiscove_mesh::{Members, Upstream, followers, heartbeat};
 use ibiscove_proxy::entry::{EntryDependencies, NodeIdentity};
 use ibiscove_proxy::local_upstream::AnnouncementEffect;
 use ibiscove_proxy::peer_api::PeerServer;
+use ibiscove_proxy::suspects::Suspects;
 use ibiscove_proxy::{
     Announcement, ConfigCell, Entry, Gate, HeaderNames, LocalUpstream, RouteTable,
 };
@@ -30,7 +34,7 @@
 };
 use ibiscove_store::Table;
 use ibiscove_types::{BootClock, Clock, Incarnation};
-use ibiscove_wire::messages::{Presence, RangeMapChange};
+use ibiscove_wire::messages::Presence;
 use smol::future::FutureExt;
 use smol::net::{TcpListener, UdpSocket};
 use std::io;
@@ -81,6 +85,7 @@
     members: Members,
     maps: RangeMaps,
     local_upstream: LocalUpstream,
+    suspects: Suspects,
     gate: Gate<Controller<T, G, C>, C>,
     entry: Entry<Controller<T, G, C>, C>,
     range_controller: OnceLock<Controller<T, G, C>>,
@@ -128,12 +133,14 @@
             settings.addrs.upstream,
             Arc::clone(&heartbeat_due),
         );
+        let suspects = Suspects::new(clock.now(), clock.wall());
         let upstream_pool = Pool::new(PoolSettings::default());
         let gate = Gate::new(
             settings.gate,
             names.clone(),
             clock.clone(),
             local_upstream.clone(),
+            suspects.clone(),
             upstream_pool,
         );
         let peer_pool = Pool::new(PoolSettings {
@@ -155,6 +162,7 @@
             maps: maps.clone(),
             local_upstream: local_upstream.clone(),
             gate: gate.clone(),
+            suspects: suspects.clone(),
             pool: peer_pool.clone(),
             body_budget: body_budget.clone(),
         });
@@ -171,6 +179,7 @@
                 members,
                 maps,
                 local_upstream,
+                suspects,
                 gate,
                 entry,
                 range_controller: OnceLock::new(),
@@ -210,6 +219,7 @@
             gate: inner.gate.clone(),
             config: inner.config.clone(),
             maps: inner.maps.clone(),
+            suspects: inner.suspects.clone(),
             clock: inner.clock.clone(),
             body_budget: inner.body_budget.clone(),
         });
@@ -251,30 +261,43 @@
             mesh,
             members,
             inner.clock.clone(),
-            move |member, is_new, news| router.handle_heartbeat(member, is_new, news),
+            move |member, is_new, content| router.handle_heartbeat(member, is_new, content),
         ))
         .detach();
         smol::spawn(inner.gate.clone().run_pacing()).detach();
         smol::spawn(self.clone().join(addresses)).detach();
+        smol::spawn(self.clone().store_suspects()).detach();
         smol::spawn(self.clone().run_maintenance()).detach();
     }
 
-    /// Waits until sections of range maps are stored or a configuration is applied;
-    /// returns the changes that one datagram each passes on.
-    async fn next_news(&self) -> Vec<Vec<RangeMapChange>> {
-        let maps_changed = self.inner.maps.changed();
-        let spread_due = self.inner.spread_due.listen();
-        let mut news = self.inner.maps.take_news();
-        if news.is_empty() {
-            maps_changed.or(spread_due).await;
-            self.inner.clock.sleep(NEWS_COALESCE_DELAY).await;
-            news = self.inner.maps.take_news();
+    /// Waits until sections of range maps are stored, a configuration is applied or
+    /// upstreams have crashed; returns what one datagram each passes on.
+    async fn next_news(&self) -> Vec<News> {
+        let inner = &self.inner;
+        let maps_changed = inner.maps.changed();
+        let suspects_changed = inner.suspects.changed();
+        let spread_due = inner.spread_due.listen();
+        let mut map_news = inner.maps.take_news();
+        let mut crash_news = inner.suspects.take_news();
+        if map_news.is_empty() && crash_news.is_empty() {
+            maps_changed.or(spread_due).or(suspects_changed).await;
+            inner.clock.sleep(NEWS_COALESCE_DELAY).await;
+            map_news = inner.maps.take_news();
+            crash_news.extend(inner.suspects.take_news());
         }
-        match news.is_empty() {
+        let map_batches = map_news::batches(map_news).into_iter();
+        let mut batches: Vec<News> = map_batches
+            .map(|map_changes| News {
+                map_changes,
+                ..News::default()
+            })
+            .collect();
+        batches.extend(crash_news::batches(crash_news));
+        if batches.is_empty() {
             // The presence alone tells of the newer configuration.
-            true => vec![Vec::new()],
-            false => map_news::batches(news),
+            batches.push(News::default());
         }
+        batches
     }
 
     /// Returns whether this node follows the source of the configuration itself,
@@ -328,8 +351,10 @@
             .local_upstream
             .apply_announcement(announcement, now);
         self.update_range_controller();
-        if effect == AnnouncementEffect::Stale {
-            return None;
+        match effect {
+            AnnouncementEffect::Stale => return None,
+            AnnouncementEffect::Changed => self.inner.gate.record_successor(&incarnation),
+            AnnouncementEffect::Unchanged => {}
         }
         let controller = self.inner.range_controller.get()?;
         controller.exchange_report(&incarnation, report)
@@ -425,6 +450,8 @@
             maps: heartbeat::map_epochs(inner.maps.all_epochs()),
             leaving: inner.is_withdrawn.load(Ordering::Acquire),
             map_changes: None,
+            crashes_digest: Some(inner.suspects.digest() as i64).filter(|digest| *digest != 0),
+            crashes: None,
             lease_version: inner
                 .range_controller
                 .get()
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -1,5 +1,9 @@
 //! Nodes on loopback with an upstream each, an in-memory table and callers.
 
+#![allow(dead_code, reason = "each test binary uses its part")]
+
+pub mod raw;
+
 use hyper::body::Incoming;
 use hyper::header::HeaderName;
 use hyper::{HeaderMap, Method, Request, Response};
@@ -14,7 +18,7 @@
 use smol::net::TcpListener;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicI64, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -68,11 +72,11 @@
     let version = String::from_utf8_lossy(text)
         .parse()
         .map_err(|_| "not a number".to_owned())?;
-    let route = |name: &str, service: &str| Route {
+    let route = |name: &str, service: &str, kind: RequestKind| Route {
         name: name.into(),
         host: "a.example".into(),
         prefix: format!("/{name}/"),
-        kind: RequestKind::Idempotent,
+        kind,
         timeout: Duration::from_millis(500),
         target_latency: Duration::from_secs(1),
         max_attempts: 2,
@@ -91,7 +95,11 @@
         ("deposits".into(), divided),
     ]
     .into();
-    let routes = vec![route("signs", "gallery"), route("pay", "deposits")];
+    let routes = vec![
+        route("signs", "gallery", RequestKind::Idempotent),
+        route("orders", "gallery", RequestKind::NonIdempotent),
+        route("pay", "deposits", RequestKind::Idempotent),
+    ];
     RouteTable::new(version, routes, services, CallerLimits::default()).map_err(|e| e.to_string())
 }
 
@@ -109,6 +117,29 @@
 ) -> (TestRouter, CountingUpstream, SocketAddr) {
     let upstream = CountingUpstream::default();
     let upstream_addr = upstream.serve().await;
+    let born_ms = Arc::new(AtomicI64::new(1));
+    let (router, callers) = start_node_beside(
+        number,
+        service,
+        table,
+        upstream.clone(),
+        upstream_addr,
+        born_ms,
+    )
+    .await;
+    (router, upstream, callers)
+}
+
+/// Starts a node beside an upstream at `upstream_addr` that was born at `born_ms`, and
+/// announces nothing while that is 0.
+pub async fn start_node_beside(
+    number: u8,
+    service: &str,
+    table: &MemoryPlatform,
+    grantee: CountingUpstream,
+    upstream_addr: SocketAddr,
+    born_ms: Arc<AtomicI64>,
+) -> (TestRouter, SocketAddr) {
     let settings = RouterSettings {
         node: format!("node-{number}").into(),
         service: Some(service.into()),
@@ -127,7 +158,7 @@
         settings,
         names,
         table.clone(),
-        upstream.clone(),
+        grantee,
         SystemClock,
         parse_config,
     )
@@ -137,22 +168,25 @@
     let service: ServiceName = service.into();
     smol::spawn(async move {
         for sequence in 1.. {
-            announcing.apply_announcement(
-                announcement(number, &service, sequence),
-                &HoldReport::default(),
-            );
+            let born_ms = born_ms.load(Ordering::SeqCst);
+            if born_ms > 0 {
+                announcing.apply_announcement(
+                    announcement(number, &service, born_ms, sequence),
+                    &HoldReport::default(),
+                );
+            }
             smol::Timer::after(Duration::from_millis(400)).await;
         }
     })
     .detach();
-    (router, upstream, callers)
+    (router, callers)
 }
 
-fn announcement(number: u8, service: &ServiceName, sequence: u64) -> Announcement {
+fn announcement(number: u8, service: &ServiceName, born_ms: i64, sequence: u64) -> Announcement {
     Announcement {
         incarnation: UpstreamIncarnation {
             id: format!("upstream-{number}").into(),
-            born_ms: 1,
+            born_ms,
         },
         service: Arc::clone(service),
         concurrency: 4,
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod admission;
 pub mod caller_timeouts;
 pub mod choice;
+pub mod crash_watch;
 pub mod deadline;
 pub mod dedup;
 pub mod first_sent;
@@ -22,6 +23,7 @@
 pub mod pacing;
 pub mod placement;
 pub mod planner;
+pub mod quarantine;
 pub mod queue;
 pub mod refusals;
 pub mod retry;
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -15,6 +15,9 @@
 pub mod rows;
 
 pub use clock::{BootClock, Clock, SinceBoot, SystemClock};
+pub use hash::{
+    Fingerprint, FingerprintParts, checksum, fingerprint, format_fingerprint, parse_fingerprint,
+};
 pub use ids::{
     DataCentre, Fence, Incarnation, Key, NodeName, Region, RequestId, RowVersion, ServiceName,
     Slot, UpstreamIncarnation,
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -131,6 +131,8 @@
     CallerStalled => "caller-stalled", 408;
     /// The retry budget is exhausted.
     RetryBudget => "retry-budget", 503;
+    /// Earlier copies of the request have crashed the upstreams that ran them.
+    Quarantined => "quarantined", 503;
     /// The peer failed to prove that it holds the shared key.
     Unauthenticated => "unauthenticated", 401;
 }
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -3390,6 +3390,98 @@
   }
 }
 
+//
+// RequestCrashes
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct RequestCrashes {
+  pub fingerprint: Vec<u8>,
+  pub clearings: i32,
+  pub crashes: i32,
+  pub crashed_ms: i64,
+}
+
+impl RequestCrashes {
+  pub fn new(fingerprint: Vec<u8>, clearings: i32, crashes: i32, crashed_ms: i64) -> RequestCrashes {
+    RequestCrashes {
+      fingerprint,
+      clearings,
+      crashes,
+      crashed_ms,
+    }
+  }
+}
+
+impl TSerializable for RequestCrashes {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<RequestCrashes> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<Vec<u8>> = None;
+    let mut f_2: Option<i32> = None;
+    let mut f_3: Option<i32> = None;
+    let mut f_4: Option<i64> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_bytes()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_i32()?;
+          f_2 = Some(val);
+        },
+        3 => {
+          let val = i_prot.read_i32()?;
+          f_3 = Some(val);
+        },
+        4 => {
+          let val = i_prot.read_i64()?;
+          f_4 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("RequestCrashes.fingerprint", &f_1)?;
+    verify_required_field_exists("RequestCrashes.clearings", &f_2)?;
+    verify_required_field_exists("RequestCrashes.crashes", &f_3)?;
+    verify_required_field_exists("RequestCrashes.crashed_ms", &f_4)?;
+    let ret = RequestCrashes {
+      fingerprint: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      clearings: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      crashes: f_3.expect("auto-generated code should have checked for presence of required fields"),
+      crashed_ms: f_4.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("RequestCrashes");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("fingerprint", TType::String, 1))?;
+    o_prot.write_bytes(&self.fingerprint)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("clearings", TType::I32, 2))?;
+    o_prot.write_i32(self.clearings)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("crashes", TType::I32, 3))?;
+    o_prot.write_i32(self.crashes)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("crashed_ms", TType::I64, 4))?;
+    o_prot.write_i64(self.crashed_ms)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
 //
 // Presence
 //
@@ -3408,10 +3500,12 @@
   pub leaving: bool,
   pub lease_version: i64,
   pub map_changes: Option<Vec<RangeMapChange>>,
+  pub crashes_digest: Option<i64>,
+  pub crashes: Option<Vec<RequestCrashes>>,
 }
 
 impl Presence {
-  pub fn new<F6, F7, F12>(node: String, incarnation: i64, sequence: i64, data_centre: String, gate_port: i32, service_name: F6, upstream: F7, config_version: i64, maps: Vec<RangeMapEpoch>, leaving: bool, lease_version: i64, map_changes: F12) -> Presence where F6: Into<Option<String>>, F7: Into<Option<UpstreamPresence>>, F12: Into<Option<Vec<RangeMapChange>>> {
+  pub fn new<F6, F7, F12, F13, F14>(node: String, incarnation: i64, sequence: i64, data_centre: String, gate_port: i32, service_name: F6, upstream: F7, config_version: i64, maps: Vec<RangeMapEpoch>, leaving: bool, lease_version: i64, map_changes: F12, crashes_digest: F13, crashes: F14) -> Presence where F6: Into<Option<String>>, F7: Into<Option<UpstreamPresence>>, F12: Into<Option<Vec<RangeMapChange>>>, F13: Into<Option<i64>>, F14: Into<Option<Vec<RequestCrashes>>> {
     Presence {
       node,
       incarnation,
@@ -3425,6 +3519,8 @@
       leaving,
       lease_version,
       map_changes: map_changes.into(),
+      crashes_digest: crashes_digest.into(),
+      crashes: crashes.into(),
     }
   }
 }
@@ -3444,6 +3540,8 @@
     let mut f_10: Option<bool> = None;
     let mut f_11: Option<i64> = None;
     let mut f_12: Option<Vec<RangeMapChange>> = None;
+    let mut f_13: Option<i64> = None;
+    let mut f_14: Option<Vec<RequestCrashes>> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -3511,6 +3609,20 @@
           i_prot.read_list_end()?;
           f_12 = Some(val);
         },
+        13 => {
+          let val = i_prot.read_i64()?;
+          f_13 = Some(val);
+        },
+        14 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<RequestCrashes> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_18 = RequestCrashes::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_18);
+          }
+          i_prot.read_list_end()?;
+          f_14 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -3540,6 +3652,8 @@
       leaving: f_10.expect("auto-generated code should have checked for presence of required fields"),
       lease_version: f_11.expect("auto-generated code should have checked for presence of required fields"),
       map_changes: f_12,
+      crashes_digest: f_13,
+      crashes: f_14,
     };
     Ok(ret)
   }
@@ -3596,6 +3710,20 @@
       o_prot.write_list_end()?;
       o_prot.write_field_end()?
     }
+    if let Some(fld_var) = self.crashes_digest {
+      o_prot.write_field_begin(&TFieldIdentifier::new("crashes_digest", TType::I64, 13))?;
+      o_prot.write_i64(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    if let Some(ref fld_var) = self.crashes {
+      o_prot.write_field_begin(&TFieldIdentifier::new("crashes", TType::List, 14))?;
+      o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, fld_var.len() as i32))?;
+      for e in fld_var {
+        e.write_to_out_protocol(o_prot)?;
+      }
+      o_prot.write_list_end()?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -283,6 +283,18 @@
   6: required list<RangeAssignment> assignments
 }
 
+// What a node knows of a request beside which upstreams have crashed.
+struct RequestCrashes {
+  // 16 bytes that identify copies of the request.
+  1: required binary fingerprint
+  // How often a copy that ended well has cleared it.
+  2: required i32 clearings
+  // Crashes since then, one after the other.
+  3: required i32 crashes
+  // When the last upstream crashed, in milliseconds since the Unix epoch.
+  4: required i64 crashed_ms
+}
+
 // What a node tells all others at each heartbeat, in one datagram.
 struct Presence {
   1: required string node
@@ -302,4 +314,8 @@
   11: required i64 lease_version
   // Changes of range maps that the sender has just learned.
   12: optional list<RangeMapChange> map_changes
+  // Hash of all that the sender knows of such requests; none if that is nothing.
+  13: optional i64 crashes_digest
+  // What of it the sender has just learned.
+  14: optional list<RequestCrashes> crashes
 }
