A refusal of an upstream counts only as that of its own request

Clients could be told "not run, try again" for a request that an upstream had run, and an order could run twice: a faulty upstream wrote an earlier refusal once more on a kept connection, and the gate believed any answer that says not-run before it compared the request's id.

Change: a refusal counts if it echoes the request's id, or has none and is the first answer on its connection, where no earlier request can own it. Any other one leaves the outcome unknown and closes the connection.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -103,6 +103,8 @@
 /// at once, so that the server can cancel the request.
 struct Connection {
     sender: SendRequest<Body>,
+    /// Whether a response has come on it.
+    has_answered: bool,
     _driver: smol::Task<()>,
 }
 
@@ -127,6 +129,9 @@
 pub struct Exchange {
     /// The response with its unread body.
     pub response: Response<Incoming>,
+    /// Whether it is the first one on its connection, so that it can't belong to an
+    /// earlier request.
+    pub is_first: bool,
     /// The connection, to be returned to the pool once the body was read to its
     /// end.
     pub connection: PooledConnection,
@@ -276,6 +281,7 @@
         });
         Ok(Connection {
             sender,
+            has_answered: false,
             _driver: driver,
         })
     }
@@ -289,6 +295,7 @@
         match connection.sender.try_send_request(req).await {
             Ok(response) => {
                 let reusable_until = reusable_until(&response, self.inner.settings.max_idle);
+                let is_first = !std::mem::replace(&mut connection.has_answered, true);
                 let connection = PooledConnection {
                     pool: self.clone(),
                     addr,
@@ -297,6 +304,7 @@
                 };
                 Ok(Exchange {
                     response,
+                    is_first,
                     connection,
                 })
             }
--- a/crates/http/tests/client.rs
+++ b/crates/http/tests/client.rs
@@ -73,6 +73,7 @@
     let Exchange {
         response,
         connection,
+        ..
     } = sent.map_err(|err| err.to_string())?;
     let status = response.status().as_u16();
     let body = read_whole(response.into_body(), 1 << 20)
@@ -188,6 +189,7 @@
         let Exchange {
             response,
             connection,
+            ..
         } = sent.expect("the early response arrives");
         assert_eq!(response.status(), 200);
         assert!(bytes_read.await > length, "the rest of the body follows");
@@ -289,6 +291,7 @@
         let Exchange {
             response,
             connection,
+            ..
         } = sent.expect("the head is complete");
         let mut body = response.into_body();
         let mut chunks = std::collections::VecDeque::new();
--- a/crates/proxy/src/gate/exchange.rs
+++ b/crates/proxy/src/gate/exchange.rs
@@ -78,21 +78,24 @@
     ) -> Result<RelayedResponse<Permit<K, C>>, Refusal> {
         let names = &self.inner.names;
         let from = exchange.response.headers();
-        if from.contains_key(&names.not_executed)
-            || exchange.response.status() == StatusCode::MISDIRECTED_REQUEST
-        {
+        let echoes = echoes_request(metadata, from, names);
+        let is_refusal = from.contains_key(&names.not_executed)
+            || exchange.response.status() == StatusCode::MISDIRECTED_REQUEST;
+        // A refusal without an id may be an earlier one, repeated on a kept connection.
+        let is_own = echoes || (exchange.is_first && !from.contains_key(&names.request_id));
+        if is_refusal && is_own {
             let status = exchange.response.status().as_u16();
-            log::info!(request = &*metadata.request_id, status; "upstream did not run the request");
+            log::info!(request = &*metadata.request_id, status, echoes;
+                "upstream did not run the request");
             return Err(Refusal::not_run(Reason::UpstreamRefused));
         }
-        let echoes = echoes_request(metadata, from, names);
         let is_success = exchange.response.status().is_success();
         let is_proven = names
             .proof
             .as_ref()
             .is_none_or(|proof| from.contains_key(proof));
         if !echoes || (is_success && !is_proven) {
-            log::warn!(request = &*metadata.request_id, echoes, is_proven;
+            log::warn!(request = &*metadata.request_id, echoes, is_proven, is_refusal;
                 "an answer of the upstream is not that of its request");
             return Err(Refusal::unknown(Reason::UpstreamLost));
         }
--- a/crates/proxy/src/peer_api.rs
+++ b/crates/proxy/src/peer_api.rs
@@ -233,6 +233,7 @@
         let Exchange {
             response,
             connection,
+            ..
         } = sent;
         let status = response.status();
         let body = read_whole(response.into_body(), MAX_BODY_BYTES).await?;
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -29,6 +29,7 @@
     let Exchange {
         response,
         connection,
+        ..
     } = exchange;
     let (head, mut body): (_, Incoming) = response.into_parts();
     let mut chunks = VecDeque::new();
--- /dev/null
+++ b/crates/router/tests/upstream_answers.rs
@@ -0,0 +1,150 @@
+//! Answers of faulty upstreams: late, repeated, broken off.
+
+mod support;
+
+use ibiscove_http::{Pool, PoolSettings};
+use ibiscove_store::MemoryPlatform;
+use smol::io::AsyncWriteExt;
+use smol::net::TcpStream;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicI64, AtomicU32, Ordering};
+use std::time::Duration;
+use support::raw::{answer, read_head, serve_raw};
+use support::{CountingUpstream, send_request, start_node_beside, wait_until_served};
+use yare::parameterized;
+
+/// Starts a node beside an upstream at `addr` and waits until it serves.
+async fn start_node_before(number: u8, addr: SocketAddr) -> SocketAddr {
+    let table = MemoryPlatform::default();
+    let born_ms = Arc::new(AtomicI64::new(1));
+    let grantee = CountingUpstream::default();
+    let (router, entry) =
+        start_node_beside(number, "gallery", &table, grantee, addr, born_ms).await;
+    assert!(router.apply_config("7".into()));
+    wait_until_served(&Pool::new(PoolSettings::default()), entry, "/signs/1").await;
+    entry
+}
+
+fn refusal(request_id: Option<&str>) -> String {
+    let id = request_id.map(|id| format!("Ibiscove-Request-Id: {id}\r\n"));
+    format!(
+        "HTTP/1.1 503 Service Unavailable\r\nIbiscove-Not-Run: 1\r\n{}Content-Length: 0\r\n\r\n",
+        id.unwrap_or_default()
+    )
+}
+
+/// An upstream that runs requests with `repeat` in their path, and then writes an earlier
+/// refusal once more in place of the answer if it has answered on the connection before.
+#[derive(Clone)]
+struct RepeatingUpstream {
+    earlier_id: Option<&'static str>,
+    runs: Arc<AtomicU32>,
+}
+
+impl RepeatingUpstream {
+    async fn serve(self, mut stream: TcpStream) {
+        let mut is_kept = false;
+        while let Some(head) = read_head(&mut stream).await {
+            let is_repeat = head.path.contains("repeat");
+            if is_repeat {
+                self.runs.fetch_add(1, Ordering::SeqCst);
+            }
+            let answer = match is_repeat && is_kept {
+                true => refusal(self.earlier_id),
+                false => answer(&head.request_id),
+            };
+            if stream.write_all(answer.as_bytes()).await.is_err() {
+                return;
+            }
+            is_kept = true;
+        }
+    }
+}
+
+/// Guards against `not-run` for a request that runs, and against running it twice,
+/// because a faulty upstream wrote an earlier refusal once more on a kept connection.
+#[parameterized(
+    with_the_earlier_id = { 51, Some("earlier") },
+    without_an_id = { 52, None },
+)]
+fn repeated_refusal_of_an_earlier_request_is_not_believed(
+    number: u8,
+    earlier_id: Option<&'static str>,
+) {
+    smol::block_on(async {
+        let upstream = RepeatingUpstream {
+            earlier_id,
+            runs: Arc::default(),
+        };
+        let serving = upstream.clone();
+        let addr = serve_raw(move |stream| serving.clone().serve(stream)).await;
+        let entry = start_node_before(number, addr).await;
+        let pool = Pool::new(PoolSettings::default());
+        assert_eq!(send_request(&pool, entry, "/orders/1").await.0, 200);
+        let (status, body) = send_request(&pool, entry, "/orders/repeat").await;
+        assert_eq!(status, 502, "{body}");
+        assert!(body.contains("unknown"), "{body}");
+        assert_eq!(upstream.runs.load(Ordering::SeqCst), 1);
+    });
+}
+
+/// A refusal without an id is that of the only request on its connection.
+#[test]
+fn refusal_without_an_id_on_a_new_connection_is_believed() {
+    smol::block_on(async {
+        let addr = serve_raw(|mut stream| async move {
+            let Some(head) = read_head(&mut stream).await else {
+                return;
+            };
+            let answer = match head.path.contains("refused") {
+                true => refusal(None),
+                false => answer(&head.request_id),
+            };
+            // The connection ends here, so the next request gets a new one.
+            let _ = stream.write_all(answer.as_bytes()).await;
+        })
+        .await;
+        let entry = start_node_before(53, addr).await;
+        let pool = Pool::new(PoolSettings::default());
+        smol::Timer::after(Duration::from_millis(50)).await;
+        let (status, body) = send_request(&pool, entry, "/orders/refused").await;
+        assert!(
+            status == 503 && body.contains("not-run"),
+            "{status}: {body}"
+        );
+    });
+}
+
+/// Guards against a whole answer made of one whose head broke off.
+#[parameterized(
+    in_the_status = { 54, "HTTP/1.1 200" },
+    in_a_name = { 55, "HTTP/1.1 200 OK\r\nIbiscove-Request-Id: ID\r\nContent-Le" },
+    in_a_value = { 56, "HTTP/1.1 200 OK\r\nIbiscove-Request-Id: ID\r\nContent-Length: 1" },
+    before_its_last_line = { 57, "HTTP/1.1 200 OK\r\nIbiscove-Request-Id: ID\r\nContent-Length: 0\r\n" },
+    in_its_last_line = { 58, "HTTP/1.1 200 OK\r\nIbiscove-Request-Id: ID\r\n\r" },
+)]
+fn answer_that_breaks_off_in_its_head_is_no_success(number: u8, part: &'static str) {
+    smol::block_on(async {
+        let addr = serve_raw(move |mut stream| async move {
+            while let Some(head) = read_head(&mut stream).await {
+                let breaks = head.path.contains("break");
+                let answer = match breaks {
+                    true => part.replace("ID", &head.request_id),
+                    false => answer(&head.request_id),
+                };
+                if stream.write_all(answer.as_bytes()).await.is_err() || breaks {
+                    return;
+                }
+            }
+        })
+        .await;
+        let entry = start_node_before(number, addr).await;
+        let pool = Pool::new(PoolSettings::default());
+        for path in ["/orders/break", "/signs/break"] {
+            let (status, body) = send_request(&pool, entry, path).await;
+            assert_eq!(status, 502, "{path}: {body}");
+            assert!(body.contains("unknown"), "{path}: {body}");
+        }
+    });
+}
