A stopping node cuts off no request that it took late: a test of the report

Another operator saw requests that came late in the grace of one node taken, passed on and cut at its end.

--- a/crates/router/tests/path.rs
+++ b/crates/router/tests/path.rs
@@ -5,9 +5,12 @@
 
 use ibiscove_http::{Pool, PoolSettings};
 use ibiscove_store::MemoryPlatform;
-use std::sync::atomic::Ordering;
+use smol::io::AsyncWriteExt;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicI64, AtomicU32, Ordering};
 use std::time::Duration;
-use support::{send_request, start_node, wait_until_served};
+use support::raw::{answer, get_on_new_connection, read_head, serve_raw};
+use support::{CountingUpstream, send_request, start_node, start_node_beside, wait_until_served};
 
 #[test]
 fn request_reaches_its_upstream_from_any_node() {
@@ -93,3 +96,65 @@
         drop(late_request);
     });
 }
+
+/// Guards against requests that a stopping node takes from callers late in its grace
+/// period, passes on and cuts off at its exit. The callers open a new connection each
+/// time, so that the node never has a moment without requests.
+#[test]
+fn stopping_node_cuts_off_no_request_that_it_took_late() {
+    /// Longer than the interval between two checks for requests in flight.
+    const WORK: Duration = Duration::from_millis(300);
+    const CALLERS: usize = 4;
+    smol::block_on(async {
+        let table = MemoryPlatform::default();
+        let runs = Arc::new(AtomicU32::new(0));
+        let counted = Arc::clone(&runs);
+        let addr = serve_raw(move |mut stream| {
+            let runs = Arc::clone(&counted);
+            async move {
+                while let Some(head) = read_head(&mut stream).await {
+                    runs.fetch_add(1, Ordering::SeqCst);
+                    smol::Timer::after(WORK).await;
+                    let answer = answer(&head.request_id);
+                    if stream.write_all(answer.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+            }
+        })
+        .await;
+        let born_ms = Arc::new(AtomicI64::new(1));
+        let grantee = CountingUpstream::default();
+        let (gallery, _) = start_node_beside(7, "gallery", &table, grantee, addr, born_ms).await;
+        let (stopping, _deposits, entry) = start_node(8, "deposits", &table).await;
+        assert!(gallery.apply_config("7".into()));
+        wait_until_served(&Pool::new(PoolSettings::default()), entry, "/signs/1").await;
+
+        let before = runs.load(Ordering::SeqCst);
+        let answered = Arc::new(AtomicU32::new(0));
+        let callers: Vec<_> = (0..CALLERS)
+            .map(|_| {
+                let answered = Arc::clone(&answered);
+                smol::spawn(async move {
+                    loop {
+                        match get_on_new_connection(entry, "/signs/1").await {
+                            Some(200) => {
+                                answered.fetch_add(1, Ordering::SeqCst);
+                            }
+                            _ => {
+                                smol::Timer::after(Duration::from_millis(5)).await;
+                            }
+                        }
+                    }
+                })
+            })
+            .collect();
+        stopping.shut_down().await;
+        // An answer that the node has sent may not have been read yet.
+        smol::Timer::after(WORK / 10).await;
+        let runs = runs.load(Ordering::SeqCst) - before;
+        assert!(runs > 0, "requests are served after the signal");
+        assert_eq!(runs, answered.load(Ordering::SeqCst), "requests cut off");
+        drop(callers);
+    });
+}
--- a/crates/router/tests/support/raw.rs
+++ b/crates/router/tests/support/raw.rs
@@ -32,6 +32,18 @@
     })
 }
 
+/// Sends a request on a connection of its own. Returns the status of the answer; none
+/// if the connection ends without one.
+pub async fn get_on_new_connection(addr: SocketAddr, path: &str) -> Option<u16> {
+    let mut stream = TcpStream::connect(addr).await.ok()?;
+    let request = format!("GET {path} HTTP/1.1\r\nHost: a.example\r\n\r\n");
+    stream.write_all(request.as_bytes()).await.ok()?;
+    let mut status = [0; 12];
+    stream.read_exact(&mut status).await.ok()?;
+    let text = std::str::from_utf8(&status).ok()?;
+    text.strip_prefix("HTTP/1.1 ")?.parse().ok()
+}
+
 /// Returns a whole answer to a request.
 pub fn answer(request_id: &str) -> String {
     format!("HTTP/1.1 200 OK\r\nIbiscove-Request-Id: {request_id}\r\nContent-Length: 4\r\n\r\ndone")
