A node registers again if the table returns while it still joins

A node that had registered shortly before the store returned from an older copy had no row in the directory any more, so a node that started later could not find it by that.

Cause: the era in which it had registered was noted after its introduction of 10 s, so a return in that time counted as the era of the registration.

Change: the era is noted when the registration is answered; the introduction ends beside the checks for a new era.

node_registers_again_if_the_table_returns_while_it_joins failed before (no row for 20 s) and passes.

--- a/crates/router/src/join.rs
+++ b/crates/router/src/join.rs
@@ -8,7 +8,7 @@
 use ibiscove_types::{BootClock, Clock};
 use std::net::IpAddr;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Delay after a failed call, half of it random jitter.
 const RETRY_BACKOFF: Duration = Duration::from_millis(600);
@@ -49,20 +49,27 @@
     pub(crate) async fn join(self, addresses: DirectoryAddresses) {
         let clock = &self.inner.clock;
         let mut joined_in = None;
+        let mut introduction: Option<(Instant, Vec<NodeAddress>)> = None;
         loop {
-            let era = self.inner.table.era();
-            if joined_in.is_none() || era != joined_in {
+            if joined_in.is_none() || self.inner.table.era() != joined_in {
                 if joined_in.is_some() {
                     clock.sleep(MAX_REJOIN_DELAY.mul_f64(fastrand::f64())).await;
                 }
-                self.introduce(&addresses).await;
+                let nodes = self.register_and_greet(&addresses).await;
                 joined_in = self.inner.table.era();
+                introduction = Some((clock.now() + INTRODUCTION_PERIOD, nodes));
+            }
+            if let Some((_, nodes)) = introduction.take_if(|(ends_at, _)| clock.now() >= *ends_at) {
+                addresses.set(Vec::new());
+                self.remove_unresponsive(&nodes).await;
             }
             clock.sleep(ERA_POLL_INTERVAL).await;
         }
     }
 
-    async fn introduce(&self, addresses: &DirectoryAddresses) {
+    /// Registers this node and sends heartbeats to all nodes of the directory, which
+    /// it returns.
+    async fn register_and_greet(&self, addresses: &DirectoryAddresses) -> Vec<NodeAddress> {
         let clock = &self.inner.clock;
         let nodes = loop {
             match self.register().await {
@@ -80,9 +87,7 @@
         let others = nodes.iter().map(|node| node.ip).filter(|ip| *ip != own);
         addresses.set(others.collect());
         self.inner.heartbeat_due.notify(usize::MAX);
-        clock.sleep(INTRODUCTION_PERIOD).await;
-        addresses.set(Vec::new());
-        self.remove_unresponsive(&nodes).await;
+        nodes
     }
 
     async fn register(&self) -> Result<Vec<NodeAddress>, TableError> {
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -68,7 +68,7 @@
     }
 }
 
-fn parse_config(text: &[u8]) -> Result<RouteTable, String> {
+pub fn parse_config(text: &[u8]) -> Result<RouteTable, String> {
     let version = String::from_utf8_lossy(text)
         .parse()
         .map_err(|_| "not a number".to_owned())?;
@@ -106,7 +106,7 @@
 pub type TestRouter = Router<MemoryPlatform, CountingUpstream, SystemClock>;
 
 /// Returns a loopback address that only one node uses, for TCP and UDP.
-fn addr(node: u8, port: u16) -> SocketAddr {
+pub fn addr(node: u8, port: u16) -> SocketAddr {
     SocketAddr::from(([127, 0, 77, node], port))
 }
 
