A refused copy is logged with its fingerprint

The line leads from the id of a refused request to the crashes that put it into quarantine, which name the fingerprint. No behaviour changes.

--- a/crates/proxy/src/entry/attempt.rs
+++ b/crates/proxy/src/entry/attempt.rs
@@ -10,7 +10,7 @@
 use crate::upstream_selection::{CandidateSet, InFlightRequest, Target};
 use ibiscove_http::SendError;
 use ibiscove_routing::placement::{Candidate, Distance};
-use ibiscove_types::{Clock, Reason, ServiceName};
+use ibiscove_types::{Clock, Reason, ServiceName, format_fingerprint};
 use smol::future::FutureExt;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -26,7 +26,12 @@
         let now = self.deps().clock.now();
         let fingerprint = plan.metadata.fingerprint;
         let crash_record = self.deps().suspects.record(fingerprint);
-        if crash_record.is_some_and(|record| record.suspicion.is_quarantined()) {
+        if let Some(record) = crash_record
+            && record.suspicion.is_quarantined()
+        {
+            let fingerprint = format_fingerprint(record.fingerprint);
+            log::info!(request = &*plan.metadata.request_id, fingerprint = &*fingerprint,
+                crashed_ms = record.crashed_ms; "a copy of a request in quarantine is refused");
             return Err(Refusal::quarantined());
         }
         plan.metadata.crash_record = crash_record;
