--- a/crates/proxy/src/gate/crashes.rs
+++ b/crates/proxy/src/gate/crashes.rs
@@ -12,7 +12,11 @@
 use ibiscove_types::{Clock, Outcome, Reason, UpstreamIncarnation};
 use smol::future::FutureExt;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// Time for which a request that was lost waits for the upstream's address to refuse or
+/// accept a connection, which takes about a millisecond on the same machine.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(50);
 
 impl<K, C> Inner<K, C> {
     /// Records that a request got no answer.
@@ -122,11 +126,7 @@
                 let incarnation = &upstream.announcement.incarnation;
                 if refusal.reason == Reason::UpstreamLost
                     && !self.inner.crash_watch().has_crashed(incarnation)
-                    && self
-                        .inner
-                        .pool
-                        .is_refused(self.inner.local_upstream.addr())
-                        .await
+                    && self.is_address_refused().await
                 {
                     self.record_process_ended(incarnation);
                 }
@@ -134,6 +134,16 @@
         }
     }
 
+    /// Returns whether the upstream's address is known to refuse connections.
+    async fn is_address_refused(&self) -> bool {
+        let addr = self.inner.local_upstream.addr();
+        let timeout = async {
+            self.inner.clock.sleep(PROBE_TIMEOUT).await;
+            false
+        };
+        self.inner.pool.is_refused(addr).or(timeout).await
+    }
+
     /// Records that the upstream's address refuses connections.
     pub(super) fn record_process_ended(&self, upstream: &UpstreamIncarnation) {
         if !self
