--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -149,7 +149,7 @@
     admission: Mutex<AdmissionController<Waiter<K, C>>>,
     latencies: Mutex<Latencies>,
     hang_detector: Mutex<HangDetector>,
-    crash_watch: Mutex<CrashWatch<Option<suspects::Copy>>>,
+    crash_watch: Mutex<CrashWatch<Option<suspects::SentCopy>>>,
     /// Notified when a queued request may have to wait for the upstream's limit.
     pacing_due: Event,
     /// Whether the gate refuses all new requests, because the node is about to
@@ -274,7 +274,7 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn crash_watch(&self) -> MutexGuard<'_, CrashWatch<Option<suspects::Copy>>> {
+    fn crash_watch(&self) -> MutexGuard<'_, CrashWatch<Option<suspects::SentCopy>>> {
         self.crash_watch
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
--- a/crates/proxy/src/gate/crashes.rs
+++ b/crates/proxy/src/gate/crashes.rs
@@ -40,7 +40,12 @@
         }
     }
 
-    fn blame(&self, copy: Option<suspects::Copy>, upstream: &UpstreamIncarnation, now: Instant) {
+    fn blame(
+        &self,
+        copy: Option<suspects::SentCopy>,
+        upstream: &UpstreamIncarnation,
+        now: Instant,
+    ) {
         if let Some(copy) = copy {
             self.suspects.record_crash(copy, upstream, now);
         }
@@ -85,7 +90,7 @@
         upstream: &ObservedUpstream,
     ) -> SentRequest<K, C> {
         let when_sent = self.inner.suspects.suspicion(metadata.fingerprint);
-        let copy = metadata.fingerprint.map(|fingerprint| suspects::Copy {
+        let copy = metadata.fingerprint.map(|fingerprint| suspects::SentCopy {
             fingerprint,
             when_sent,
         });
@@ -118,8 +123,8 @@
             Err(refusal) if refusal.outcome == Outcome::NotRun => {
                 self.inner.crash_watch().settle(id);
             }
-            // An answer that is still being received counts as lost until then: the
-            // upstream may crash before its end.
+            // The upstream may still crash before the end of a long answer, so its request
+            // is a suspect if that happens soon.
             Ok(_) => self.inner.record_loss(id, self.inner.clock.now()),
             Err(refusal) => {
                 self.inner.record_loss(id, self.inner.clock.now());
--- a/crates/proxy/src/suspects.rs
+++ b/crates/proxy/src/suspects.rs
@@ -17,7 +17,7 @@
 
 /// A copy of a request at the upstream.
 #[derive(Clone, Copy, Debug)]
-pub struct Copy {
+pub struct SentCopy {
     /// The request.
     pub fingerprint: Fingerprint,
     /// What was known of it when it was sent.
@@ -131,7 +131,7 @@
     }
 
     /// Records that an upstream crashed beside a copy of a request.
-    pub fn record_crash(&self, copy: Copy, upstream: &UpstreamIncarnation, now: Instant) {
+    pub fn record_crash(&self, copy: SentCopy, upstream: &UpstreamIncarnation, now: Instant) {
         let mut state = self.lock();
         let wall = self.wall(now);
         let Some(record) = state
--- a/crates/proxy/tests/suspects.rs
+++ b/crates/proxy/tests/suspects.rs
@@ -2,7 +2,7 @@
 
 use hyper::HeaderMap;
 use ibiscove_proxy::headers::{self, CRASH_RECORD};
-use ibiscove_proxy::suspects::{Copy, Quarantined, Suspects, Turn};
+use ibiscove_proxy::suspects::{Quarantined, SentCopy, Suspects, Turn};
 use ibiscove_types::{Fingerprint, UpstreamIncarnation};
 use smol::future::FutureExt;
 use std::time::{Duration, Instant, SystemTime};
@@ -15,7 +15,7 @@
 }
 
 fn crash(suspects: &Suspects) {
-    let copy = Copy {
+    let copy = SentCopy {
         fingerprint: REQUEST,
         when_sent: suspects.suspicion(Some(REQUEST)),
     };
