--- a/crates/ranges/src/controller.rs
+++ b/crates/ranges/src/controller.rs
@@ -452,9 +452,11 @@
     /// is read again and the plan is computed anew from it.
     async fn update_map(
         &self,
+        reason: TransferReason,
         plan: impl Fn(&RangeMap) -> Option<Vec<Transfer>>,
     ) -> Result<(), TableError> {
         let _guard = self.inner.map_update.lock().await;
+        let service = &self.inner.deps.service;
         let mut failures = 0;
         loop {
             let map = self.current_map_or_unowned();
@@ -476,7 +478,7 @@
             let result = result.await;
             let err = match result {
                 Ok(Commit::Done(_)) => {
-                    self.record_transfers(&changed, &transfers);
+                    self.record_transfers(reason, &changed, &transfers);
                     if failures == 0 {
                         return Ok(());
                     }
@@ -484,6 +486,7 @@
                 }
                 Ok(Commit::Conflict(key)) => self.reread_after_conflict(&key).await.err(),
                 Err(err) => {
+                    log_unanswered_change(service, reason, &transfers, &err);
                     self.wait_before_retry().await;
                     self.read_rows().await.err().or(Some(err))
                 }
@@ -524,13 +527,18 @@
         Ok(commit)
     }
 
-    fn record_transfers(&self, changed: &[ChangedSection], transfers: &[Transfer]) {
+    fn record_transfers(
+        &self,
+        reason: TransferReason,
+        changed: &[ChangedSection],
+        transfers: &[Transfer],
+    ) {
         let mut count = 0;
         for ChangedSection { section, .. } in changed {
             let span = section_span(section.index());
             for transfer in transfers.iter().filter(|t| t.range.overlaps(&span)) {
                 count += 1;
-                log_transfer(&self.inner.deps.service, transfer, section);
+                log_transfer(&self.inner.deps.service, reason, transfer, section);
             }
         }
         metrics::counter!("ibiscove_range_transfers_total").increment(count);
@@ -571,9 +579,52 @@
     TableError::Unavailable("the range map changed during every attempt to update it".to_owned())
 }
 
-fn log_transfer(service: &str, transfer: &Transfer, section: &MapSection) {
+/// Why ranges are given to another owner, for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum TransferReason {
+    /// Their owner released them, or all grants of them have ended.
+    Released,
+    /// The upstream that held them has ended or fallen silent.
+    UpstreamGone,
+    /// The upstream has restarted.
+    NewIncarnation,
+    /// Their owner's lease has ended, or they had none.
+    NoLiveOwner,
+}
+
+impl TransferReason {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Released => "released",
+            Self::UpstreamGone => "upstream-gone",
+            Self::NewIncarnation => "new-incarnation",
+            Self::NoLiveOwner => "no-live-owner",
+        }
+    }
+}
+
+/// Logs a change of the map with an unknown outcome: it may take effect later.
+fn log_unanswered_change(
+    service: &str,
+    reason: TransferReason,
+    transfers: &[Transfer],
+    err: &TableError,
+) {
+    if !matches!(err, TableError::Unanswered(_)) {
+        return;
+    }
+    for transfer in transfers {
+        log::warn!(service = service, reason = reason.as_str(),
+            first = transfer.range.first, last = transfer.range.last,
+            to = transfer.to.as_ref().map_or("", |owner| &*owner.node);
+            "a change of owner got no answer and may take effect later: {err}");
+    }
+}
+
+fn log_transfer(service: &str, reason: TransferReason, transfer: &Transfer, section: &MapSection) {
     log::info!(
         service = service,
+        reason = reason.as_str(),
         fence = section.last_fence(),
         first = transfer.range.first,
         last = transfer.range.last,
--- a/crates/ranges/src/controller/coordinate.rs
+++ b/crates/ranges/src/controller/coordinate.rs
@@ -4,7 +4,7 @@
 //! hold a lease. When two members consider themselves the coordinator, one of
 //! their transactions fails.
 
-use super::{RangeController, changed_sections};
+use super::{RangeController, TransferReason, changed_sections, log_unanswered_change};
 use crate::balance::assign_ranges;
 use crate::grants::Grantee;
 use crate::map::{Assignment, KeyRange, Owner, RangeMap, Transfer};
@@ -130,8 +130,15 @@
         let _guard = self.inner.map_update.lock().await;
         let next = map.with_transfers(&transfers);
         let changed = changed_sections(&map, &next);
-        match self.commit_sections(era, &changed, removals).await? {
-            Commit::Done(_) => self.record_transfers(&changed, &transfers),
+        let commit = self.commit_sections(era, &changed, removals).await;
+        if let Err(err) = &commit {
+            let service = &self.inner.deps.service;
+            log_unanswered_change(service, TransferReason::NoLiveOwner, &transfers, err);
+        }
+        match commit? {
+            Commit::Done(_) => {
+                self.record_transfers(TransferReason::NoLiveOwner, &changed, &transfers)
+            }
             // The next poll plans anew.
             Commit::Conflict(key) => self.reread_after_conflict(&key).await?,
         }
--- a/crates/ranges/src/controller/granting.rs
+++ b/crates/ranges/src/controller/granting.rs
@@ -90,7 +90,16 @@
             .grant(call.clone())
             .or(timeout)
             .await;
-        self.state().grants.apply_reply(call, reply, sent);
+        let is_first = self.state().grants.apply_reply(call, reply, sent);
+        if is_first {
+            log::info!(
+                service = &*self.inner.deps.service, first = call.range.first,
+                last = call.range.last, fence = call.fence,
+                upstream = &*call.incarnation.id, born_ms = call.incarnation.born_ms,
+                duration_ms = call.duration.as_millis() as u64;
+                "keys are granted"
+            );
+        }
         if reply != GrantReply::Granted {
             metrics::counter!("ibiscove_grant_failures_total").increment(1);
             log::warn!(
--- a/crates/ranges/src/controller/moving.rs
+++ b/crates/ranges/src/controller/moving.rs
@@ -2,8 +2,8 @@
 //! shuts down, to joining members, and when this upstream is more loaded or
 //! slower than others.
 
-use super::RangeController;
 use super::coordinate::owner_of;
+use super::{RangeController, TransferReason};
 use crate::balance::{self, Candidate, OffloadReason};
 use crate::grants::{GrantDelivery, Grantee, ReleaseCall, ReleaseReply};
 use crate::map::{Claim, KeyRange, Owner, RangeMap, SectionIndex, Transfer, section_of};
@@ -159,7 +159,7 @@
         if plan(&current).is_none() {
             return false;
         }
-        if let Err(err) = self.update_map(plan).await {
+        if let Err(err) = self.update_map(TransferReason::NewIncarnation, plan).await {
             log::warn!(
                 "ranges of the upstream's earlier incarnation are not reassigned yet: {err}"
             );
@@ -200,7 +200,7 @@
                 .collect();
             (!transfers.is_empty()).then_some(transfers)
         };
-        if let Err(err) = self.update_map(plan).await {
+        if let Err(err) = self.update_map(TransferReason::UpstreamGone, plan).await {
             log::warn!("ranges of an upstream that is gone are not transferred yet: {err}");
         }
     }
@@ -408,7 +408,7 @@
         while self.awaits_claims(&transfers) {
             self.wait_before_retry().await;
         }
-        while let Err(err) = self.update_map(plan).await {
+        while let Err(err) = self.update_map(TransferReason::Released, plan).await {
             log::warn!("released ranges are not written yet: {err}");
             self.wait_before_retry().await;
         }
--- a/crates/ranges/src/grants.rs
+++ b/crates/ranges/src/grants.rs
@@ -295,11 +295,14 @@
         })
     }
 
-    /// Applies the reply to a grant call that was sent at `sent`.
-    pub fn apply_reply(&mut self, call: &GrantCall, reply: GrantReply, sent: SinceBoot) {
+    /// Applies the reply to a grant call that was sent at `sent`. Returns whether it
+    /// confirms keys that were not confirmed before.
+    pub fn apply_reply(&mut self, call: &GrantCall, reply: GrantReply, sent: SinceBoot) -> bool {
         let is_of_call =
             |g: &&mut RangeGrant| g.fence == call.fence && call.range.overlaps(&g.range);
+        let mut is_first = false;
         for g in self.ranges.iter_mut().filter(is_of_call) {
+            is_first |= reply == GrantReply::Granted && g.confirmed_until.is_none();
             match reply {
                 GrantReply::Granted => g.confirmed_until = Some(sent + call.duration),
                 // Makes the renewal due at the next poll.
@@ -318,6 +321,7 @@
                     .retain(|unresolved| unresolved.sent != sent),
             }
         }
+        is_first
     }
 
     /// Starts to release the granted parts of `range`, whose keys are no longer
