A late write of an earlier process no longer moves keys that are granted again

Callers saw two upstreams serve the same keys for seconds (rule OWNER). A node released keys and sent the transfer of them; the store answered nothing and carried it out up to six seconds later. The node was killed meanwhile. Its next process read the map, which still showed it as the owner, and granted the keys again; then the transfer took effect, and the next owner granted them too. The transfer was conditional on the section's row only, which a restart doesn't change.

Changes that a node makes of its own ranges are now conditional on its lease row as well. A process that starts writes that row before it reads the map, so whatever an earlier one has sent either shows in that read or fails.

--- a/crates/ranges/src/controller.rs
+++ b/crates/ranges/src/controller.rs
@@ -443,8 +443,11 @@
         }
     }
 
-    /// Updates the map with the transfers that `plan` computes from the newest
-    /// map. A plan of `None` means that there is nothing left to change.
+    /// Updates the map with the transfers of this node's ranges that `plan` computes
+    /// from the newest map. A plan of `None` means that there is nothing left to change.
+    ///
+    /// Each write is conditional on this node's lease row (invariant 9), so that none
+    /// takes effect once a later process of this node may grant the ranges again.
     ///
     /// The sections that change are written in one transaction. After a conflict
     /// each is written on its own, so that one section that others change often
@@ -458,6 +461,7 @@
         let _guard = self.inner.map_update.lock().await;
         let service = &self.inner.deps.service;
         let mut failures = 0;
+        let mut is_lease_row_known = true;
         loop {
             let map = self.current_map_or_unowned();
             let Some(transfers) = plan(&map) else {
@@ -474,9 +478,9 @@
             if failures > 0 {
                 changed = vec![changed.swap_remove(failures % changed.len())];
             }
-            let result = self.commit_sections(era, &changed, Transaction::default());
-            let result = result.await;
-            let err = match result {
+            let base = self.condition_on_own_lease(era, is_lease_row_known).await?;
+            is_lease_row_known = true;
+            let err = match self.commit_sections(era, &changed, base).await {
                 Ok(Commit::Done(_)) => {
                     self.record_transfers(reason, &changed, &transfers);
                     if failures == 0 {
@@ -484,6 +488,12 @@
                     }
                     continue;
                 }
+                Ok(Commit::Conflict(key))
+                    if key == rows::lease_key(service, era, &self.inner.deps.node) =>
+                {
+                    is_lease_row_known = false;
+                    None
+                }
                 Ok(Commit::Conflict(key)) => self.reread_after_conflict(&key).await.err(),
                 Err(err) => {
                     log_unanswered_change(service, reason, &transfers, &err);
--- a/crates/ranges/src/controller/leasing.rs
+++ b/crates/ranges/src/controller/leasing.rs
@@ -7,7 +7,7 @@
 use crate::rows::{self, LeaseRow};
 use futures_lite::FutureExt;
 use ibiscove_store::era::{Era, era_of};
-use ibiscove_store::{Commit, Table, TableError, Transaction};
+use ibiscove_store::{Commit, Condition, RawRow, Table, TableError, Transaction};
 use ibiscove_types::{BootClock, Clock, NodeName, RowVersion, SinceBoot, UpstreamIncarnation};
 
 impl<T: Table, G: Grantee, C: Clock + BootClock> RangeController<T, G, C> {
@@ -131,6 +131,49 @@
         }
     }
 
+    /// Returns the condition that this node's lease row is as this process last knew
+    /// it, or as it is in the table if that is out of date. The row changes when
+    /// another process of this node acquires the lease.
+    pub(super) async fn condition_on_own_lease(
+        &self,
+        era: Era,
+        is_row_known: bool,
+    ) -> Result<Transaction, TableError> {
+        let known_version = self
+            .state()
+            .lease
+            .version
+            .filter(|version| era_of(*version) == era);
+        let key = rows::lease_key(&self.inner.deps.service, era, &self.inner.deps.node);
+        let version = match known_version.filter(|_| is_row_known) {
+            Some(version) => Some(version),
+            None => match self.get_in(era, &key).await? {
+                Some(row) => {
+                    self.check_process_of_lease(&key, &row)?;
+                    Some(row.version)
+                }
+                None => None,
+            },
+        };
+        Ok(Transaction {
+            conditions: vec![Condition { key, version }],
+            writes: Vec::new(),
+        })
+    }
+
+    /// Rejects a lease row that a later process of this node has written: it grants
+    /// the ranges now.
+    fn check_process_of_lease(&self, key: &str, row: &RawRow) -> Result<(), TableError> {
+        let lease: LeaseRow = serde_json::from_slice(&row.body)
+            .map_err(|err| TableError::Unavailable(format!("row {key} is malformed: {err}")))?;
+        match lease.incarnation > self.inner.deps.incarnation {
+            true => Err(TableError::Unavailable(
+                "a later process of this node holds its lease".to_owned(),
+            )),
+            false => Ok(()),
+        }
+    }
+
     fn record_renewal(
         &self,
         incarnation: &UpstreamIncarnation,
--- a/crates/ranges/tests/explorer/main.rs
+++ b/crates/ranges/tests/explorer/main.rs
@@ -9,4 +9,5 @@
 mod reports;
 mod schedules;
 mod table;
+mod two_holders;
 mod upstreams;
--- /dev/null
+++ b/crates/ranges/tests/explorer/two_holders.rs
@@ -0,0 +1,63 @@
+//! Regression schedules of the incident in `docs/incidents/two-holders.md`: keys
+//! that are given on while a grant of them can still be in force.
+
+use crate::cluster::Cluster;
+use crate::table::TableFaults;
+use ibiscove_ranges::ControllerSettings;
+use std::sync::Arc;
+use std::time::Duration;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+const SEEDS: u64 = 12;
+/// Time at which the schedules begin: all keys are held.
+const START: Duration = Duration::from_secs(10);
+/// A lease term, its margin, the longest fault and a grant.
+const RECOVERY_PERIOD: Duration = Duration::from_secs(45);
+
+/// Runs a schedule for several seeds, and demands that no key ever has two holders
+/// and that all keys are held afterwards.
+fn expect_one_holder(schedule: impl Fn(&Arc<Cluster>, u64)) {
+    for seed in 0..SEEDS {
+        let cluster = Arc::new(Cluster::new(seed, 4, ControllerSettings::default()));
+        cluster.sim.run_until(START);
+        assert!(cluster.upstreams.unheld_keys().is_empty(), "seed {seed}");
+        schedule(&cluster, seed);
+        cluster.sim.run_until(START + RECOVERY_PERIOD);
+        let violations = cluster.upstreams.violations();
+        assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
+        let unheld = cluster.upstreams.unheld_keys();
+        assert!(unheld.is_empty(), "seed {seed}: nobody holds {unheld:?}");
+        cluster.finish();
+    }
+}
+
+/// Writes of one node that get no answer and are carried out up to six seconds later.
+const LATE_WRITES: TableFaults = TableFaults {
+    is_unavailable: false,
+    response_loss_probability: 0.0,
+    delay_probability: 1.0,
+};
+
+/// Guards against a transfer that a killed process has sent and that takes effect
+/// after the next process has granted the same keys to the upstream again.
+#[test]
+fn late_transfer_of_an_earlier_process_does_not_take_keys_that_are_granted_again() {
+    expect_one_holder(|cluster, seed| {
+        cluster.table.inject(0, LATE_WRITES);
+        cluster.begin_shutdown(0);
+        let killed = START + ms(400 + 10 * seed);
+        cluster.schedule(killed, |c| c.kill(0));
+        cluster.schedule(killed + ms(100), |c| {
+            c.table.inject(0, TableFaults::default());
+            c.start(0);
+        });
+        // A node that starts reads the whole map, and the others learn of it.
+        for restarted in [3_000, 5_000] {
+            cluster.schedule(killed + ms(restarted), |c| c.kill(1));
+            cluster.schedule(killed + ms(restarted + 100), |c| c.start(1));
+        }
+    });
+}
