Calls without an answer outlive the upstream's process in the books

A grant call that got no answer may be applied seconds later, and it names only the upstream's id, which the next process at the address may have too. The node took the end of the process for the end of these calls: it forgot them and gave the keys on at once, and a late one could let the next process hold keys that another upstream had been granted.

The end of a process now ends its confirmed grants only; keys with a call that may still be applied wait for its expiry, and what an earlier incarnation left counts for the moves of the next one. A release that finds the process ended waits likewise.

--- a/crates/ranges/src/controller.rs
+++ b/crates/ranges/src/controller.rs
@@ -200,7 +200,7 @@
             if state.granted_to.is_some() {
                 // The earlier incarnation held its grants at the same address,
                 // and they ended with it.
-                state.grants = Grants::default();
+                state.grants = std::mem::take(&mut state.grants).after_end();
             }
             state.granted_to = Some(incarnation.clone());
             state.joined_at = Some(self.inner.deps.clock.now());
@@ -261,7 +261,7 @@
             return;
         }
         if is_certain {
-            state.grants = Grants::default();
+            state.grants.end();
         }
         state.incarnation = None;
         drop(state);
--- a/crates/ranges/src/grants.rs
+++ b/crates/ranges/src/grants.rs
@@ -150,6 +150,28 @@
     reported: ReportedState,
 }
 
+impl RangeGrant {
+    fn new(range: KeyRange, fence: Fence, handover: Option<Arc<str>>) -> Self {
+        Self {
+            range,
+            fence,
+            handover,
+            confirmed_until: None,
+            expires_by: SinceBoot::ZERO,
+            unresolved_calls: Vec::new(),
+            last_sent: None,
+            release: ReleaseProgress::Serving,
+            reported: ReportedState::default(),
+        }
+    }
+
+    /// Returns when the grants of all calls without an answer have expired.
+    fn unresolved_expiry(&self) -> SinceBoot {
+        let expiry = self.unresolved_calls.iter().map(|call| call.expires_by);
+        expiry.max().unwrap_or_default()
+    }
+}
+
 /// Progress of the release of a range.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ReleaseProgress {
@@ -189,6 +211,27 @@
         }
     }
 
+    /// Records that the upstream's process has ended. It holds nothing any more, but
+    /// calls without an answer may still reach the next process at its address.
+    pub fn end(&mut self) {
+        for g in &mut self.ranges {
+            g.confirmed_until = None;
+            g.last_sent = None;
+            g.expires_by = g.unresolved_expiry();
+            g.reported = ReportedState::default();
+        }
+    }
+
+    /// Returns the state for the next incarnation of the upstream, after the process
+    /// of the last one has ended.
+    pub fn after_end(mut self) -> Self {
+        self.end();
+        Self {
+            ranges: Vec::new(),
+            earlier_expiry: self.latest_expiry(),
+        }
+    }
+
     /// Updates the grants to match the ranges that the incarnation owns in the
     /// map, under their current fences. Ranges that it no longer owns are
     /// dropped: they were released, or the lease had expired before they were
@@ -213,17 +256,8 @@
                     ..old.clone()
                 });
             }
-            next.extend(uncovered.into_iter().map(|range| RangeGrant {
-                range,
-                fence: assignment.fence,
-                handover: assignment.handover.clone(),
-                confirmed_until: None,
-                expires_by: SinceBoot::ZERO,
-                unresolved_calls: Vec::new(),
-                last_sent: None,
-                release: ReleaseProgress::Serving,
-                reported: ReportedState::default(),
-            }));
+            let new = |range| RangeGrant::new(range, assignment.fence, assignment.handover.clone());
+            next.extend(uncovered.into_iter().map(new));
         }
         self.ranges = next;
     }
@@ -378,19 +412,13 @@
 
     /// Returns when a range that is being released may be transferred.
     pub fn transferable_from(&self, range: KeyRange, reply: &ReleaseReply) -> SinceBoot {
-        if *reply == ReleaseReply::Ended {
-            return SinceBoot::ZERO;
-        }
         let overlapping = self.ranges.iter().filter(|g| g.range.overlaps(&range));
         let expiry = overlapping.map(|g| match reply {
             ReleaseReply::Unanswered => g.expires_by,
-            _ => g
-                .unresolved_calls
-                .iter()
-                .map(|unresolved| unresolved.expires_by)
-                .chain(g.reported.applicable_until)
-                .max()
-                .unwrap_or_default(),
+            ReleaseReply::Ended => g.unresolved_expiry(),
+            ReleaseReply::Released { .. } => g
+                .unresolved_expiry()
+                .max(g.reported.applicable_until.unwrap_or_default()),
         });
         expiry.max().unwrap_or_default().max(self.earlier_expiry)
     }
--- a/crates/ranges/tests/explorer/two_holders.rs
+++ b/crates/ranges/tests/explorer/two_holders.rs
@@ -3,6 +3,7 @@
 
 use crate::cluster::Cluster;
 use crate::table::TableFaults;
+use crate::upstreams::GrantFaults;
 use ibiscove_ranges::ControllerSettings;
 use std::sync::Arc;
 use std::time::Duration;
@@ -61,3 +62,22 @@
         }
     });
 }
+
+/// Guards against calls without an answer that are forgotten when the upstream's
+/// process ends: one that is applied late reaches the next process of the same id.
+#[test]
+fn late_grant_that_reaches_the_next_incarnation_finds_its_keys_not_given_away() {
+    expect_one_holder(|cluster, seed| {
+        let faults = GrantFaults {
+            response_loss_probability: 0.1,
+            delay_probability: 0.7,
+        };
+        cluster.upstreams.inject(0, faults);
+        let ended = START + ms(1_500 + 20 * seed);
+        cluster.schedule(ended, |c| c.upstreams.stop(0));
+        cluster.schedule(ended + ms(500), |c| c.upstreams.start(0));
+        cluster.schedule(ended + ms(2_000), |c| {
+            c.upstreams.inject(0, GrantFaults::default())
+        });
+    });
+}
