Keys of a silent upstream are granted no more once they are given away

When an upstream fell silent, its node waited for the end of its grants and wrote the next owners. The wait was computed once, and the write was repeated for seconds if the store failed, without a look at the upstream. If it returned in between, its keys were granted to it again and then given away all the same: two upstreams held them for up to the time of a grant.

What has expired is now looked up again after each wait. Under the same lock as the check that the upstream is still gone, the keys are withdrawn: they are granted no more, as after a release, until the map shows their owner, and the write is that of released ranges. Keys whose grants end later no longer hold up the others.

The explorer's upstreams were never silent before: its nodes always knew that one had ended.

--- a/crates/ranges/src/controller/moving.rs
+++ b/crates/ranges/src/controller/moving.rs
@@ -11,7 +11,7 @@
 use futures_util::future::join_all;
 use ibiscove_mesh::Member;
 use ibiscove_store::{Table, TableError};
-use ibiscove_types::{BootClock, Clock, Fence, NodeName};
+use ibiscove_types::{BootClock, Clock, Fence, NodeName, SinceBoot};
 use std::time::Duration;
 
 /// Interval between two checks for ranges that should move.
@@ -167,52 +167,86 @@
         true
     }
 
-    /// Moves the ranges of an upstream that is gone, once every grant to it has
-    /// expired. A node that has just started waits likewise for the grants that
-    /// its previous process may have issued; in that time its upstream can
-    /// announce itself.
+    /// Moves the ranges of an upstream that is gone, each once every grant of it has
+    /// expired. A node that has just started waits likewise for the grants that its
+    /// previous process may have issued; in that time its upstream can announce itself.
     async fn transfer_after_upstream_exit(&self) {
-        let Some(current) = self.current_map() else {
+        let Some(map) = self.current_map() else {
             return;
         };
-        let owned = |map: &RangeMap| -> Vec<KeyRange> {
-            map.owned_by_node(&self.inner.deps.node)
-                .map(|a| a.range)
-                .collect()
+        let state_changed = self.inner.state_changed.listen();
+        let owned: Vec<KeyRange> = map
+            .owned_by_node(&self.inner.deps.node)
+            .map(|a| a.range)
+            .collect();
+        let Some(next_expiry) = owned.iter().map(|range| self.grant_expiry(*range)).min() else {
+            return;
         };
-        if owned(&current).is_empty() {
+        let now = self.inner.deps.clock.since_boot();
+        if now < next_expiry {
+            let wait = self.inner.deps.clock.sleep(next_expiry - now);
+            wait.or(state_changed).await;
             return;
         }
-        self.wait_for_grant_expiry().await;
+        let expired: Vec<KeyRange> = owned
+            .into_iter()
+            .filter(|range| self.grant_expiry(*range) <= now)
+            .collect();
         let recipients: Vec<Owner> = self
             .eligible_members()
             .iter()
             .filter_map(owner_of)
             .collect();
-        if self.state().incarnation.is_some() || recipients.is_empty() {
+        let moves = balance::assign_ranges(&map, &expired, &recipients);
+        let Some((first, _)) = moves.first() else {
             return;
-        }
-        let plan = |map: &RangeMap| {
-            let divided = balance::assign_ranges(map, &owned(map), &recipients);
-            let transfers: Vec<_> = divided
-                .into_iter()
-                .map(|(range, owner)| Transfer::without_handover(range, owner))
-                .collect();
-            (!transfers.is_empty()).then_some(transfers)
         };
-        if let Err(err) = self.update_map(TransferReason::UpstreamGone, plan).await {
-            log::warn!("ranges of an upstream that is gone are not transferred yet: {err}");
+        if self.is_table_reachable(section_of(first.first)).await
+            && self.shows_present_era(&moves)
+            && self.withdraw_expired(moves)
+        {
+            self.write_pending_transfers(TransferReason::UpstreamGone)
+                .await;
         }
     }
 
-    async fn wait_for_grant_expiry(&self) {
+    /// Returns when every grant of a range has expired.
+    fn grant_expiry(&self, range: KeyRange) -> SinceBoot {
+        let state = self.state();
+        state
+            .grants
+            .transferable_from(range, &ReleaseReply::Unanswered)
+    }
+
+    /// Makes transfers of ranges pending whose grants have all expired, and grants
+    /// them no more even if the upstream returns before they are written. Returns
+    /// false if it has returned.
+    fn withdraw_expired(&self, moves: Vec<(KeyRange, Owner)>) -> bool {
+        let map = self.current_map_or_unowned();
         let now = self.inner.deps.clock.since_boot();
-        let expiry = self.state().grants.latest_expiry();
-        self.inner
-            .deps
-            .clock
-            .sleep(expiry.saturating_sub(now))
-            .await;
+        let mut state = self.state();
+        if state.incarnation.is_some() {
+            return false;
+        }
+        for (range, to) in moves {
+            let assignment = map.assignment_of(range.first);
+            let expiry = state
+                .grants
+                .transferable_from(range, &ReleaseReply::Unanswered);
+            if now < expiry || !assignment.is_owned_by_node(&self.inner.deps.node) {
+                continue;
+            }
+            let released_fence = assignment.fence;
+            state.grants.withdraw(Claim {
+                range,
+                fence: released_fence,
+            });
+            state.pending_transfers.push(PendingTransfer {
+                transfer: Transfer::without_handover(range, to),
+                released_fence,
+            });
+        }
+        true
     }
 
     fn plan_drain(&self, map: &RangeMap, own: &Owner) -> Vec<(KeyRange, Owner)> {
@@ -277,7 +311,7 @@
                 },
             });
         self.state().pending_transfers.extend(transfers);
-        self.write_pending_transfers().await;
+        self.write_pending_transfers(TransferReason::Released).await;
     }
 
     /// Releases a range by calls; completes when it may be transferred.
@@ -384,7 +418,7 @@
     /// Writes all pending transfers in one transaction. Their ranges are
     /// released, so the write is retried until the map shows that this node no
     /// longer owns them.
-    async fn write_pending_transfers(&self) {
+    async fn write_pending_transfers(&self, reason: TransferReason) {
         let _guard = self.inner.transfer_batch.lock().await;
         let transfers = std::mem::take(&mut self.state().pending_transfers);
         if transfers.is_empty() {
@@ -393,8 +427,7 @@
         // What this node was assigned anew is not what it released.
         let is_as_released = |map: &RangeMap, pending: &&PendingTransfer| {
             let assignment = map.assignment_of(pending.transfer.range.first);
-            let owner = assignment.owner.as_ref();
-            owner.is_some_and(|owner| owner.node == self.inner.deps.node)
+            assignment.is_owned_by_node(&self.inner.deps.node)
                 && assignment.fence == pending.released_fence
         };
         let plan = |map: &RangeMap| {
@@ -408,7 +441,7 @@
         while self.awaits_claims(&transfers) {
             self.wait_before_retry().await;
         }
-        while let Err(err) = self.update_map(TransferReason::Released, plan).await {
+        while let Err(err) = self.update_map(reason, plan).await {
             log::warn!("released ranges are not written yet: {err}");
             self.wait_before_retry().await;
         }
--- a/crates/ranges/src/grants.rs
+++ b/crates/ranges/src/grants.rs
@@ -399,6 +399,27 @@
         parts
     }
 
+    /// Stops granting keys that are about to be given to another owner without a
+    /// release, so that an upstream that returns is not granted them anew.
+    pub fn withdraw(&mut self, claim: Claim) {
+        let parts = self.split_at(claim.range);
+        let mut unknown = vec![claim.range];
+        for g in self.ranges.iter_mut().filter(|g| g.fence == claim.fence) {
+            if parts.contains(&g.range) {
+                g.release = ReleaseProgress::Stopped;
+                unknown = unknown
+                    .iter()
+                    .flat_map(|rest| rest.difference(&g.range))
+                    .collect();
+            }
+        }
+        self.ranges
+            .extend(unknown.into_iter().map(|range| RangeGrant {
+                release: ReleaseProgress::Stopped,
+                ..RangeGrant::new(range, claim.fence, None)
+            }));
+    }
+
     /// Returns whether a grant call within `range` is still pending. A release
     /// that overtook such a call would end nothing.
     pub fn has_pending_call(&self, range: KeyRange) -> bool {
--- a/crates/ranges/src/map.rs
+++ b/crates/ranges/src/map.rs
@@ -288,8 +288,7 @@
 
     /// Returns the assignments of a node, for any incarnation of its upstream.
     pub fn owned_by_node<'a>(&'a self, node: &'a str) -> impl Iterator<Item = &'a Assignment> {
-        self.assignments()
-            .filter(move |a| a.owner.as_ref().is_some_and(|owner| &*owner.node == node))
+        self.assignments().filter(move |a| a.is_owned_by_node(node))
     }
 
     /// Returns the number of keys that a node owns.
@@ -461,6 +460,13 @@
         self.owner.is_none() && self.fence == 0
     }
 
+    /// Returns whether a node owns the keys, for any incarnation of its upstream.
+    pub fn is_owned_by_node(&self, node: &str) -> bool {
+        self.owner
+            .as_ref()
+            .is_some_and(|owner| &*owner.node == node)
+    }
+
     fn is_equal_except_range(&self, other: &Assignment) -> bool {
         self.owner == other.owner && self.fence == other.fence && self.handover == other.handover
     }
--- a/crates/ranges/tests/explorer/cluster.rs
+++ b/crates/ranges/tests/explorer/cluster.rs
@@ -225,6 +225,9 @@
         async move {
             loop {
                 match upstreams.incarnation_if_up(node) {
+                    Some(_) if upstreams.is_silent(node) => {
+                        process.controller.record_upstream_gone(false);
+                    }
                     Some((incarnation, is_draining)) => process
                         .controller
                         .record_announcement(&incarnation, is_draining),
--- a/crates/ranges/tests/explorer/two_holders.rs
+++ b/crates/ranges/tests/explorer/two_holders.rs
@@ -63,6 +63,50 @@
     });
 }
 
+/// Guards against keys that are given away because their upstream fell silent, and are
+/// granted to it again when it returns before their next owner is written.
+#[test]
+fn upstream_that_returns_while_its_keys_are_given_away_does_not_hold_them_beside_another() {
+    expect_one_holder(|cluster, seed| {
+        cluster.upstreams.set_silent(0, true);
+        let returned = START + ms(4_800 + 10 * seed);
+        cluster.schedule(START + ms(3_000), |c| {
+            c.table.inject(0, TableFaults::UNAVAILABLE)
+        });
+        cluster.schedule(returned, |c| c.upstreams.set_silent(0, false));
+        cluster.schedule(returned + ms(700), |c| {
+            c.table.inject(0, TableFaults::default())
+        });
+    });
+}
+
+/// The same with writes that are carried out late.
+#[test]
+fn late_write_after_an_upstream_fell_silent_does_not_take_keys_that_are_granted_again() {
+    expect_one_holder(|cluster, seed| {
+        cluster.upstreams.set_silent(0, true);
+        let returned = START + ms(4_900 + 50 * seed);
+        cluster.schedule(START + ms(3_000), |c| c.table.inject(0, LATE_WRITES));
+        cluster.schedule(returned, |c| c.upstreams.set_silent(0, false));
+        cluster.schedule(returned + ms(700), |c| {
+            c.table.inject(0, TableFaults::default())
+        });
+    });
+}
+
+/// Guards against a wait for the end of an upstream's grants that is computed when it
+/// falls silent, although it returned for a moment and was granted its keys again.
+#[test]
+fn upstream_that_falls_silent_twice_keeps_its_keys_until_its_last_grants_end() {
+    expect_one_holder(|cluster, seed| {
+        cluster.upstreams.set_silent(0, true);
+        let returned = START + ms(800 + 20 * seed);
+        cluster.schedule(returned, |c| c.upstreams.set_silent(0, false));
+        cluster.schedule(returned + ms(1_200), |c| c.upstreams.set_silent(0, true));
+        cluster.schedule(START + ms(15_000), |c| c.upstreams.set_silent(0, false));
+    });
+}
+
 /// Guards against calls without an answer that are forgotten when the upstream's
 /// process ends: one that is applied late reaches the next process of the same id.
 #[test]
--- a/crates/ranges/tests/explorer/upstreams.rs
+++ b/crates/ranges/tests/explorer/upstreams.rs
@@ -46,6 +46,8 @@
 pub struct State {
     pub incarnation: UpstreamIncarnation,
     pub is_up: bool,
+    /// Whether its announcements do not reach its node although it is up.
+    pub is_silent: bool,
     pub is_draining: bool,
     faults: GrantFaults,
     pub holds: Vec<HeldRange>,
@@ -78,6 +80,7 @@
         let state = |index| State {
             incarnation: incarnation_of(index, 1),
             is_up: true,
+            is_silent: false,
             is_draining: false,
             faults: GrantFaults::default(),
             holds: Vec::new(),
@@ -151,6 +154,15 @@
         state.unacknowledged.clear();
     }
 
+    /// Keeps the upstream's announcements from its node, or delivers them again.
+    pub fn set_silent(&self, index: usize, is_silent: bool) {
+        self.all()[index].is_silent = is_silent;
+    }
+
+    pub fn is_silent(&self, index: usize) -> bool {
+        self.all()[index].is_silent
+    }
+
     pub fn drain(&self, index: usize) {
         self.all()[index].is_draining = true;
     }
