Claims of an era outlive the process that made them

After the store has returned from an earlier copy, a node claims in its lease row what its upstream holds, until the coordinator writes the claims into the map. If the node restarted before that, the first row of the new process erased the claim, and the keys could be assigned as unclaimed while the upstream still held them under grants of the erased claim's lease. It takes a coordinator that is cut off from the store for most of its lease, since the claims are written within seconds otherwise.

The next process repeats the claims in the row that it replaces if the upstream is the same incarnation, until the map shows the keys.

Found by reading; no play has shown it.

--- a/crates/ranges/src/controller.rs
+++ b/crates/ranges/src/controller.rs
@@ -19,7 +19,7 @@
 use crate::maps::RangeMaps;
 use crate::rows::{self, Snapshot};
 use crate::takeover::LeaseObservations;
-use eras::{SeenEra, sync_grants};
+use eras::{InheritedClaims, SeenEra, sync_grants};
 use event_listener::Event;
 use futures_lite::future::zip;
 use ibiscove_mesh::{Member, Members};
@@ -142,6 +142,8 @@
     is_map_doubted: bool,
     /// The era of the table, as this node knows it.
     era: Option<SeenEra>,
+    /// What an earlier process of this node claimed beside the same incarnation.
+    inherited_claims: InheritedClaims,
 }
 
 impl<T: Table, G: Grantee, C: Clock + BootClock> RangeController<T, G, C> {
@@ -167,6 +169,7 @@
                     joined_at: None,
                     is_map_doubted: false,
                     era: None,
+                    inherited_claims: InheritedClaims::default(),
                 }),
                 state_changed: Event::new(),
                 map_update: smol::lock::Mutex::new(()),
@@ -205,6 +208,7 @@
             state.granted_to = Some(incarnation.clone());
             state.joined_at = Some(self.inner.deps.clock.now());
             state.lease.clear();
+            state.inherited_claims = InheritedClaims::default();
         }
         state.incarnation = Some(incarnation.clone());
         state.is_leaving = is_leaving;
--- a/crates/ranges/src/controller/eras.rs
+++ b/crates/ranges/src/controller/eras.rs
@@ -111,7 +111,7 @@
 /// one; the map of an earlier era gives no new ones.
 pub(super) fn sync_grants(grants: &mut Grants, map: &RangeMap, era: Era, owner: &Owner) {
     let map = map.in_era(era);
-    let held = claimable(grants, &map);
+    let held = unassigned_parts(grants.held(), &map);
     let held = held.iter().map(|claim| Assignment {
         range: claim.range,
         owner: Some(owner.clone()),
@@ -122,27 +122,45 @@
     grants.sync_with(&owned);
 }
 
-/// Returns what the upstream holds although the map has not assigned it to anyone in
-/// its era.
-fn claimable(grants: &Grants, map: &RangeMap) -> Vec<Claim> {
+/// Returns the parts of claims that the map has not assigned to anyone in its era.
+fn unassigned_parts(claims: impl Iterator<Item = Claim>, map: &RangeMap) -> Vec<Claim> {
     let unassigned = map.assignments().filter(|a| a.is_unassigned());
     let unassigned: Vec<_> = unassigned.map(|a| a.range).collect();
     if unassigned.is_empty() {
         return Vec::new();
     }
-    let claims_within = |held: Claim| {
+    let parts = |claim: Claim| {
         let common = unassigned
             .iter()
-            .filter_map(move |range| range.intersection(&held.range));
-        common.map(move |range| Claim { range, ..held })
+            .filter_map(move |range| range.intersection(&claim.range));
+        common.map(move |range| Claim { range, ..claim })
     };
-    grants.held().flat_map(claims_within).collect()
+    claims.flat_map(parts).collect()
+}
+
+/// Claims that an earlier process of this node has made in an era.
+#[derive(Clone, Debug, Default)]
+pub(super) struct InheritedClaims {
+    pub(super) era: Era,
+    pub(super) claims: Vec<Claim>,
 }
 
 impl State {
     /// Returns what this node claims in an era: what its upstream holds and the map of
     /// the era has not assigned to anyone.
     pub(super) fn claims(&self, map: &RangeMap, era: Era) -> Vec<Claim> {
-        claimable(&self.grants, &map.in_era(era))
+        unassigned_parts(self.grants.held(), &map.in_era(era))
+    }
+
+    /// Returns what an earlier process has claimed in an era and the map has not
+    /// assigned to anyone yet.
+    pub(super) fn inherited_claims(&self, map: &RangeMap, era: Era) -> Vec<Claim> {
+        match self.inherited_claims.era == era {
+            true => {
+                let claims = self.inherited_claims.claims.iter().copied();
+                unassigned_parts(claims, &map.in_era(era))
+            }
+            false => Vec::new(),
+        }
     }
 }
--- a/crates/ranges/src/controller/leasing.rs
+++ b/crates/ranges/src/controller/leasing.rs
@@ -1,10 +1,11 @@
 //! Acquires and renews this node's lease row.
 
+use super::eras::InheritedClaims;
 use super::{RETRY_DELAY, RangeController};
 use crate::grants::Grantee;
 use crate::lease::Lease;
-use crate::map::Claim;
-use crate::rows::{self, LeaseRow};
+use crate::map::{Claim, Owner};
+use crate::rows::{self, LeaseRow, Snapshot};
 use futures_lite::FutureExt;
 use ibiscove_store::era::{Era, era_of};
 use ibiscove_store::{Commit, Condition, RawRow, Table, TableError, Transaction};
@@ -49,10 +50,13 @@
         let known_version = lease.version.filter(|version| era_of(*version) == era);
         let version = match known_version {
             Some(version) => Some(version),
-            None => self
-                .read_rows()
-                .await?
-                .lease_version_of(&self.inner.deps.node),
+            None => {
+                let snapshot = self.read_rows().await?;
+                if is_acquired {
+                    self.inherit_claims(era, incarnation, &snapshot);
+                }
+                snapshot.lease_version_of(&self.inner.deps.node)
+            }
         };
         let sent = self.inner.deps.clock.since_boot();
         let (claims, valid_until) = self.claims_under_lease(era, sent);
@@ -100,17 +104,31 @@
             .is_some_and(|version| Some(era_of(version)) != era)
     }
 
-    /// Returns what this node may claim in an era, and until when a confirmation of
-    /// the claim counts: while its lease runs, nobody else can have been assigned
-    /// what its upstream holds.
+    /// Takes over the claims in the row of an earlier process, which ran beside the
+    /// same incarnation of the upstream. The upstream may still hold what they name, so
+    /// this process's first row must not erase them.
+    fn inherit_claims(&self, era: Era, incarnation: &UpstreamIncarnation, snapshot: &Snapshot) {
+        let own = Owner {
+            node: NodeName::clone(&self.inner.deps.node),
+            life: incarnation.clone(),
+        };
+        let claims = snapshot.claims.iter().filter(|(owner, _)| *owner == own);
+        let claims = claims.flat_map(|(_, claims)| claims).copied().collect();
+        self.state().inherited_claims = InheritedClaims { era, claims };
+    }
+
+    /// Returns what this node claims in an era, and until when a confirmation of its own
+    /// claims counts: while its lease runs, nobody else can have been assigned what its
+    /// upstream holds.
     fn claims_under_lease(&self, era: Era, now: SinceBoot) -> (Vec<Claim>, SinceBoot) {
         let state = self.state();
         let valid_until = self.lease_end(&state).unwrap_or_default();
-        if now >= valid_until {
-            return (Vec::new(), valid_until);
-        }
         let map = self.current_map_or_unowned();
-        (state.claims(&map, era), valid_until)
+        let mut claims = state.inherited_claims(&map, era);
+        if now < valid_until {
+            claims.extend(state.claims(&map, era));
+        }
+        (claims, valid_until)
     }
 
     /// Ends the grants of keys that were not assigned in an era, if the lease that
--- a/crates/ranges/tests/explorer/cluster.rs
+++ b/crates/ranges/tests/explorer/cluster.rs
@@ -12,7 +12,7 @@
     ControllerDependencies, ControllerSettings, GrantDelivery, HoldList, RangeController, RangeMaps,
 };
 use ibiscove_sim::{ENVIRONMENT, NodeIndex, Sim, SimClock};
-use ibiscove_types::{Clock, NodeName, ServiceName};
+use ibiscove_types::{Clock, NodeName, RowVersion, ServiceName};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -179,6 +179,12 @@
         self.nodes()[node].is_partitioned = is_partitioned;
     }
 
+    /// Returns the version of a node's lease row; 0 while it holds no lease.
+    pub fn lease_version(&self, node: usize) -> RowVersion {
+        self.process(node)
+            .map_or(0, |(_, process)| process.controller.lease_version())
+    }
+
     pub fn sim_index(&self, node: usize) -> NodeIndex {
         self.nodes()[node].index
     }
--- a/crates/ranges/tests/explorer/two_holders.rs
+++ b/crates/ranges/tests/explorer/two_holders.rs
@@ -5,6 +5,8 @@
 use crate::table::TableFaults;
 use crate::upstreams::GrantFaults;
 use ibiscove_ranges::ControllerSettings;
+use ibiscove_sim::ENVIRONMENT;
+use ibiscove_store::era::era_of;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -107,6 +109,32 @@
     });
 }
 
+/// Guards against a claim of an era that is erased by the first lease row of a
+/// restarted node, so that its keys are assigned while its upstream holds them.
+#[test]
+fn claims_outlive_the_process_that_made_them() {
+    expect_one_holder(|cluster, seed| {
+        cluster.table.restore(START - ms(3_000));
+        // Node 0 coordinates while its lease runs, but cannot write the claims.
+        let cut_off = Arc::clone(cluster);
+        let cut_off_coordinator = async move {
+            while era_of(cut_off.lease_version(0)) == 0 {
+                cut_off.sim.sleep(ms(1)).await;
+            }
+            cut_off.table.inject(0, TableFaults::UNAVAILABLE);
+        };
+        cluster.sim.spawn(ENVIRONMENT, cut_off_coordinator).detach();
+        cluster.schedule(START + ms(14_000), |c| {
+            c.table.inject(0, TableFaults::default());
+        });
+        let killed = START + ms(9_000 + 50 * seed);
+        for node in [2, 3] {
+            cluster.schedule(killed, move |c| c.kill(node));
+            cluster.schedule(killed + ms(200), move |c| c.start(node));
+        }
+    });
+}
+
 /// Guards against calls without an answer that are forgotten when the upstream's
 /// process ends: one that is applied late reaches the next process of the same id.
 #[test]
