Releases are not forgotten when an era of the table begins

While the keys of a new era were unassigned, a node kept only what its upstream held in its books. A range whose release had begun after it was claimed dropped out: once the coordinator had written the claim, the range looked new, was granted again under the claimed fence, and the transfer that had waited was written all the same. Two upstreams held it for up to the time of a grant. It takes a store that returns from an earlier copy while ranges are released that take longer than that return.

Ranges that are being given away now stay in the books until the map shows them; only claims leave them out.

--- a/crates/ranges/src/controller/eras.rs
+++ b/crates/ranges/src/controller/eras.rs
@@ -107,11 +107,11 @@
 }
 
 /// Updates the grants to match the map of an era. Grants of keys that were not
-/// assigned in this era stay as they are, since they were issued under an earlier
-/// one; the map of an earlier era gives no new ones.
+/// assigned in this era stay as they are, those that are being given away too, since
+/// they were issued under an earlier one; the map of an earlier era gives no new ones.
 pub(super) fn sync_grants(grants: &mut Grants, map: &RangeMap, era: Era, owner: &Owner) {
     let map = map.in_era(era);
-    let held = unassigned_parts(grants.held(), &map);
+    let held = unassigned_parts(grants.tracked(), &map);
     let held = held.iter().map(|claim| Assignment {
         range: claim.range,
         owner: Some(owner.clone()),
--- a/crates/ranges/src/grants.rs
+++ b/crates/ranges/src/grants.rs
@@ -165,6 +165,13 @@
         }
     }
 
+    fn claim(&self) -> Claim {
+        Claim {
+            range: self.range,
+            fence: self.fence,
+        }
+    }
+
     /// Returns when the grants of all calls without an answer have expired.
     fn unresolved_expiry(&self) -> SinceBoot {
         let expiry = self.unresolved_calls.iter().map(|call| call.expires_by);
@@ -264,14 +271,13 @@
 
     /// Returns what the upstream holds, or may be about to hold, and does not let go.
     pub fn held(&self) -> impl Iterator<Item = Claim> {
-        let held = self
-            .ranges
-            .iter()
-            .filter(|g| g.release != ReleaseProgress::Stopped);
-        held.map(|g| Claim {
-            range: g.range,
-            fence: g.fence,
-        })
+        let held = |g: &&RangeGrant| g.release != ReleaseProgress::Stopped;
+        self.ranges.iter().filter(held).map(RangeGrant::claim)
+    }
+
+    /// Returns what is held and what is being given away.
+    pub fn tracked(&self) -> impl Iterator<Item = Claim> {
+        self.ranges.iter().map(RangeGrant::claim)
     }
 
     /// Drops the grants of claims that have lapsed.
--- a/crates/ranges/tests/explorer/regressions.rs
+++ b/crates/ranges/tests/explorer/regressions.rs
@@ -99,6 +99,7 @@
         let faults = GrantFaults {
             response_loss_probability: 0.1,
             delay_probability: 0.5,
+            ..GrantFaults::default()
         };
         cluster.upstreams.inject(0, faults);
         cluster.schedule(secs(10), |cluster| cluster.upstreams.drain(0));
@@ -208,12 +209,14 @@
 const LOST_CALLS: GrantFaults = GrantFaults {
     response_loss_probability: 0.1,
     delay_probability: 0.5,
+    work: Duration::ZERO,
 };
 
 /// Faults of reports and their answers.
 const LOST_REPORTS: GrantFaults = GrantFaults {
     response_loss_probability: 0.2,
     delay_probability: 0.5,
+    work: Duration::ZERO,
 };
 
 fn by_reports(grants: GrantSettings) -> ControllerSettings {
--- a/crates/ranges/tests/explorer/schedules.rs
+++ b/crates/ranges/tests/explorer/schedules.rs
@@ -123,6 +123,7 @@
             let faults = GrantFaults {
                 response_loss_probability: 0.2,
                 delay_probability: 0.4,
+                ..GrantFaults::default()
             };
             cluster.schedule(at, move |c| c.upstreams.inject(node, faults));
             cluster.schedule(end, move |c| {
@@ -170,6 +171,7 @@
     let faults = GrantFaults {
         response_loss_probability: 0.1,
         delay_probability: 0.6,
+        ..GrantFaults::default()
     };
     cluster.schedule(at, move |c| c.upstreams.inject(node, faults));
     cluster.schedule(at + ms(1_500), move |c| c.upstreams.stop(node));
--- a/crates/ranges/tests/explorer/two_holders.rs
+++ b/crates/ranges/tests/explorer/two_holders.rs
@@ -143,6 +143,7 @@
         let faults = GrantFaults {
             response_loss_probability: 0.1,
             delay_probability: 0.7,
+            ..GrantFaults::default()
         };
         cluster.upstreams.inject(0, faults);
         let ended = START + ms(1_500 + 20 * seed);
@@ -153,3 +154,19 @@
         });
     });
 }
+
+/// Guards against releases that are forgotten when an era of the table begins: the keys
+/// were granted again under the claimed fence, and then given away all the same.
+#[test]
+fn keys_that_are_being_released_when_an_era_begins_are_not_granted_again() {
+    expect_one_holder(|cluster, seed| {
+        let faults = GrantFaults {
+            work: ms(400 + 200 * (seed % 6)),
+            ..GrantFaults::default()
+        };
+        cluster.upstreams.inject(0, faults);
+        cluster.upstreams.drain(0);
+        let restored = START + ms(300 + 70 * seed);
+        cluster.schedule(restored, move |c| c.table.restore(START - ms(3_000)));
+    });
+}
--- a/crates/ranges/tests/explorer/upstreams.rs
+++ b/crates/ranges/tests/explorer/upstreams.rs
@@ -26,6 +26,8 @@
     pub response_loss_probability: f64,
     /// Probability that a grant call takes effect seconds later.
     pub delay_probability: f64,
+    /// How much longer than usual the work on released keys takes.
+    pub work: Duration,
 }
 
 #[derive(Clone, Debug)]
@@ -387,7 +389,8 @@
         }
         let (is_lost, _) = self.draw_faults();
         let work = Duration::from_millis(sim.draw(|rng| rng.u64(1..300)));
-        sim.sleep(work).await;
+        let more = self.upstreams.faults(self.index).work;
+        sim.sleep(work + more).await;
         self.upstreams.all()[self.index].release(call.range);
         if is_lost {
             return std::future::pending().await;
