A pending transfer moves only what the map still shows as released

Whether a released range was still this node's was asked of its first key, and then the whole range was moved. If a part of it had gone to another owner meanwhile, as by a late write of an earlier process, that owner's keys were given away under it; and if it was the first part, the rest stayed withdrawn with no transfer pending.

The parts that the map shows under the released fence are looked up for each write.

--- a/crates/ranges/src/controller/moving.rs
+++ b/crates/ranges/src/controller/moving.rs
@@ -39,6 +39,23 @@
     released_fence: Fence,
 }
 
+impl PendingTransfer {
+    /// Returns the transfers of those parts that the map still shows as released.
+    fn remaining(&self, map: &RangeMap, node: &str) -> Vec<Transfer> {
+        let released = Claim {
+            range: self.transfer.range,
+            fence: self.released_fence,
+        };
+        let parts = map.parts_owned_under(&released, node);
+        parts
+            .map(|range| Transfer {
+                range,
+                ..self.transfer.clone()
+            })
+            .collect()
+    }
+}
+
 impl<T: Table, G: Grantee, C: Clock + BootClock> RangeController<T, G, C> {
     pub(super) async fn move_ranges(&self) {
         loop {
@@ -229,22 +246,23 @@
             return false;
         }
         for (range, to) in moves {
-            let assignment = map.assignment_of(range.first);
             let expiry = state
                 .grants
                 .transferable_from(range, &ReleaseReply::Unanswered);
-            if now < expiry || !assignment.is_owned_by_node(&self.inner.deps.node) {
+            if now < expiry {
                 continue;
             }
-            let released_fence = assignment.fence;
-            state.grants.withdraw(Claim {
-                range,
-                fence: released_fence,
-            });
-            state.pending_transfers.push(PendingTransfer {
-                transfer: Transfer::without_handover(range, to),
-                released_fence,
-            });
+            for assignment in map.owned_by_node(&self.inner.deps.node) {
+                let Some(range) = assignment.range.intersection(&range) else {
+                    continue;
+                };
+                let fence = assignment.fence;
+                state.grants.withdraw(Claim { range, fence });
+                state.pending_transfers.push(PendingTransfer {
+                    transfer: Transfer::without_handover(range, to.clone()),
+                    released_fence: fence,
+                });
+            }
         }
         true
     }
@@ -424,17 +442,12 @@
         if transfers.is_empty() {
             return;
         }
-        // What this node was assigned anew is not what it released.
-        let is_as_released = |map: &RangeMap, pending: &&PendingTransfer| {
-            let assignment = map.assignment_of(pending.transfer.range.first);
-            assignment.is_owned_by_node(&self.inner.deps.node)
-                && assignment.fence == pending.released_fence
-        };
+        // What this node was assigned anew is not what it released, and parts may have
+        // gone to others since.
         let plan = |map: &RangeMap| {
             let remaining: Vec<_> = transfers
                 .iter()
-                .filter(|pending| is_as_released(map, pending))
-                .map(|pending| pending.transfer.clone())
+                .flat_map(|pending| pending.remaining(map, &self.inner.deps.node))
                 .collect();
             (!remaining.is_empty()).then_some(remaining)
         };
--- a/crates/ranges/src/map.rs
+++ b/crates/ranges/src/map.rs
@@ -291,6 +291,18 @@
         self.assignments().filter(move |a| a.is_owned_by_node(node))
     }
 
+    /// Returns the parts of a claimed range that a node still owns under the fence of
+    /// the claim.
+    pub fn parts_owned_under<'a>(
+        &'a self,
+        claim: &'a Claim,
+        node: &'a str,
+    ) -> impl Iterator<Item = KeyRange> + 'a {
+        self.owned_by_node(node)
+            .filter(|a| a.fence == claim.fence)
+            .filter_map(|a| a.range.intersection(&claim.range))
+    }
+
     /// Returns the number of keys that a node owns.
     pub fn width_owned_by_node(&self, node: &str) -> u32 {
         self.owned_by_node(node).map(|a| a.range.width()).sum()
--- a/crates/ranges/tests/map.rs
+++ b/crates/ranges/tests/map.rs
@@ -1,6 +1,6 @@
 //! Range maps: partitions, changes, and their exchange between nodes.
 
-use ibiscove_ranges::map::Transfer;
+use ibiscove_ranges::map::{Claim, Transfer};
 use ibiscove_ranges::map::{MapSection, SECTION_COUNT, section_of, section_span, split_by_section};
 use ibiscove_ranges::maps::{SectionContent, SectionUpdate};
 use ibiscove_ranges::{KeyRange, Owner, RangeMap, RangeMaps};
@@ -239,3 +239,21 @@
     let fences = [5, 65_005].map(|key| merged.assignment_of(key).fence);
     assert_ne!(fences[0], fences[1], "fences are unique within the service");
 }
+
+/// Guards against a transfer of a released range that takes along keys of it which
+/// have gone to another owner since.
+#[test]
+fn only_the_parts_of_a_released_range_that_its_node_still_owns_are_left_to_transfer() {
+    let before = RangeMap::unowned().with_transfers(&[transfer(0, 4_095, "a")]);
+    let fence = before.assignment_of(0).fence;
+    let released = Claim {
+        range: range(100, 300),
+        fence,
+    };
+    let parts = |map: &RangeMap| -> Vec<_> { map.parts_owned_under(&released, "a").collect() };
+    assert_eq!(parts(&before), [range(100, 300)]);
+    let after = before.with_transfers(&[transfer(200, 250, "b")]);
+    assert_eq!(parts(&after), [range(100, 199), range(251, 300)]);
+    let returned = after.with_transfers(&[transfer(0, 150, "b"), transfer(200, 250, "a")]);
+    assert_eq!(parts(&returned), [range(151, 199), range(251, 300)]);
+}
