An answer that comes after the end of the upstream's process ends no account of its call

After the end of the process was recorded, the answer to a call that was under way took the call off the books, and the next incarnation's state was computed without it; the next process may have answered, and then it holds the keys. The state after an end is now computed once.

a_call_that_is_answered_after_the_end_... failed before (0 ns instead of 5.69 s).

--- a/crates/ranges/src/grants.rs
+++ b/crates/ranges/src/grants.rs
@@ -204,8 +204,11 @@
 #[derive(Clone, Debug, Default)]
 pub struct Grants {
     ranges: Vec<RangeGrant>,
-    /// When every grant of an earlier process of this node must have expired.
+    /// When every grant of an earlier process of this node, and every call to an earlier
+    /// incarnation of the upstream that may still be applied, must have expired.
     earlier_expiry: SinceBoot,
+    /// Whether the upstream's process has ended since the last call.
+    is_ended: bool,
 }
 
 impl Grants {
@@ -213,14 +216,18 @@
     /// process may still be valid.
     pub fn after_restart(settings: &GrantSettings, now: SinceBoot) -> Self {
         Self {
-            ranges: Vec::new(),
             earlier_expiry: expiry_on_slowest_clock(settings, settings.duration, now),
+            ..Self::default()
         }
     }
 
     /// Records that the upstream's process has ended. It holds nothing any more, but
-    /// calls without an answer may still reach the next process at its address.
+    /// calls without an answer may still reach the next process at its address, and an
+    /// answer that comes later may be that process's.
     pub fn end(&mut self) {
+        if std::mem::replace(&mut self.is_ended, true) {
+            return;
+        }
         for g in &mut self.ranges {
             g.confirmed_until = None;
             g.last_sent = None;
@@ -234,8 +241,8 @@
     pub fn after_end(mut self) -> Self {
         self.end();
         Self {
-            ranges: Vec::new(),
             earlier_expiry: self.latest_expiry(),
+            ..Self::default()
         }
     }
 
@@ -317,6 +324,7 @@
         let due = self.ranges.iter_mut().filter(needs_call);
         let g = due.min_by_key(|g| g.confirmed_until)?;
         let expiry = expiry_on_slowest_clock(settings, duration, now);
+        self.is_ended = false;
         g.last_sent = Some(now);
         g.expires_by = g.expires_by.max(expiry);
         g.unresolved_calls
--- a/crates/ranges/tests/grants.rs
+++ b/crates/ranges/tests/grants.rs
@@ -134,3 +134,17 @@
     let reply = ReleaseReply::Released { handover: None };
     assert_eq!(grants.transferable_from(KeyRange::ALL, &reply), ms(5_690));
 }
+
+/// Guards against a call that is forgotten because its answer comes after the upstream's
+/// process has ended: the next process may have taken it.
+#[test]
+fn a_call_that_is_answered_after_the_end_of_the_process_counts_until_it_expires() {
+    let mut grants = Grants::default();
+    grants.sync_with(&owned());
+    let call = due(&mut grants, ms(60_000), ms(1_000)).expect("the grant is due");
+    grants.end();
+    grants.apply_reply(&call, GrantReply::Granted, ms(1_000));
+    let next = grants.after_end();
+    let reply = ReleaseReply::Released { handover: None };
+    assert_eq!(next.transferable_from(KeyRange::ALL, &reply), ms(5_690));
+}
