--- a/crates/ranges/src/grants/reports.rs
+++ b/crates/ranges/src/grants/reports.rs
@@ -127,6 +127,7 @@
         now: SinceBoot,
     ) -> HoldList {
         let slowest = 1.0 + settings.max_clock_drift;
+        self.is_ended = false;
         let mut grants = Vec::new();
         for g in &mut self.ranges {
             if g.release == ReleaseProgress::Requested {
