Inherited claims name their incarnation; the lease row is read again after a conflict

Two remarks of the review. A renewal that was under way when the next incarnation of the upstream announced itself could store the claims of the last one, and the next row would have claimed them for the new one under the same fence. And a write that met a changed lease row used the version that it read for one attempt only, so that without renewals each second write was a sure conflict; whether the row is another process's was told by the order of wall clocks. A process that has held the lease in this era now accepts only a row of its own.

--- a/crates/ranges/src/controller.rs
+++ b/crates/ranges/src/controller.rs
@@ -143,7 +143,7 @@
     /// The era of the table, as this node knows it.
     era: Option<SeenEra>,
     /// What an earlier process of this node claimed beside the same incarnation.
-    inherited_claims: InheritedClaims,
+    inherited_claims: Option<InheritedClaims>,
 }
 
 impl<T: Table, G: Grantee, C: Clock + BootClock> RangeController<T, G, C> {
@@ -169,7 +169,7 @@
                     joined_at: None,
                     is_map_doubted: false,
                     era: None,
-                    inherited_claims: InheritedClaims::default(),
+                    inherited_claims: None,
                 }),
                 state_changed: Event::new(),
                 map_update: smol::lock::Mutex::new(()),
@@ -208,7 +208,6 @@
             state.granted_to = Some(incarnation.clone());
             state.joined_at = Some(self.inner.deps.clock.now());
             state.lease.clear();
-            state.inherited_claims = InheritedClaims::default();
         }
         state.incarnation = Some(incarnation.clone());
         state.is_leaving = is_leaving;
@@ -483,7 +482,6 @@
                 changed = vec![changed.swap_remove(failures % changed.len())];
             }
             let base = self.condition_on_own_lease(era, is_lease_row_known).await?;
-            is_lease_row_known = true;
             let err = match self.commit_sections(era, &changed, base).await {
                 Ok(Commit::Done(_)) => {
                     self.record_transfers(reason, &changed, &transfers);
--- a/crates/ranges/src/controller/eras.rs
+++ b/crates/ranges/src/controller/eras.rs
@@ -14,7 +14,7 @@
 use crate::rows;
 use ibiscove_store::era::Era;
 use ibiscove_store::{Commit, RawRow, Table, TableError, Transaction};
-use ibiscove_types::{BootClock, Clock, SinceBoot};
+use ibiscove_types::{BootClock, Clock, SinceBoot, UpstreamIncarnation};
 
 /// An era, and when this node learned of it.
 #[derive(Clone, Copy, Debug)]
@@ -138,10 +138,12 @@
     claims.flat_map(parts).collect()
 }
 
-/// Claims that an earlier process of this node has made in an era.
-#[derive(Clone, Debug, Default)]
+/// Claims that an earlier process of this node has made in an era, beside the same
+/// incarnation of the upstream.
+#[derive(Clone, Debug)]
 pub(super) struct InheritedClaims {
     pub(super) era: Era,
+    pub(super) incarnation: UpstreamIncarnation,
     pub(super) claims: Vec<Claim>,
 }
 
@@ -155,12 +157,14 @@
     /// Returns what an earlier process has claimed in an era and the map has not
     /// assigned to anyone yet.
     pub(super) fn inherited_claims(&self, map: &RangeMap, era: Era) -> Vec<Claim> {
-        match self.inherited_claims.era == era {
-            true => {
-                let claims = self.inherited_claims.claims.iter().copied();
-                unassigned_parts(claims, &map.in_era(era))
+        match &self.inherited_claims {
+            Some(inherited)
+                if inherited.era == era
+                    && self.incarnation.as_ref() == Some(&inherited.incarnation) =>
+            {
+                unassigned_parts(inherited.claims.iter().copied(), &map.in_era(era))
             }
-            false => Vec::new(),
+            _ => Vec::new(),
         }
     }
 }
--- a/crates/ranges/src/controller/leasing.rs
+++ b/crates/ranges/src/controller/leasing.rs
@@ -114,7 +114,11 @@
         };
         let claims = snapshot.claims.iter().filter(|(owner, _)| *owner == own);
         let claims = claims.flat_map(|(_, claims)| claims).copied().collect();
-        self.state().inherited_claims = InheritedClaims { era, claims };
+        self.state().inherited_claims = Some(InheritedClaims {
+            era,
+            incarnation: incarnation.clone(),
+            claims,
+        });
     }
 
     /// Returns what this node claims in an era, and until when a confirmation of its own
@@ -167,7 +171,9 @@
             Some(version) => Some(version),
             None => match self.get_in(era, &key).await? {
                 Some(row) => {
-                    self.check_process_of_lease(&key, &row)?;
+                    if known_version.is_some() {
+                        self.check_process_of_lease(&key, &row)?;
+                    }
                     Some(row.version)
                 }
                 None => None,
@@ -179,16 +185,16 @@
         })
     }
 
-    /// Rejects a lease row that a later process of this node has written: it grants
-    /// the ranges now.
+    /// Rejects the lease row of another process of this node that was written after
+    /// this one held the lease: that process grants the ranges now.
     fn check_process_of_lease(&self, key: &str, row: &RawRow) -> Result<(), TableError> {
         let lease: LeaseRow = serde_json::from_slice(&row.body)
             .map_err(|err| TableError::Unavailable(format!("row {key} is malformed: {err}")))?;
-        match lease.incarnation > self.inner.deps.incarnation {
-            true => Err(TableError::Unavailable(
-                "a later process of this node holds its lease".to_owned(),
+        match lease.incarnation == self.inner.deps.incarnation {
+            true => Ok(()),
+            false => Err(TableError::Unavailable(
+                "another process of this node holds its lease".to_owned(),
             )),
-            false => Ok(()),
         }
     }
 
