A range that ends before it begins is malformed

A range of keys in a lease row, or in an update of another node, was taken with its ends in any order. Keys from 100 to 50 overlap the range of all keys, so a claim of them split the map into ranges that are no partition, and the width of the claim overflowed.

Ranges are now checked when they are read. A lease row with such a claim is malformed: it still is a lease, and claims nothing.

a_claim_that_ends_before_it_begins_is_ignored ended before with "attempt to subtract with overflow" in KeyRange::width. It passes now, with the other tests of the crate.

--- a/crates/ranges/src/map.rs
+++ b/crates/ranges/src/map.rs
@@ -7,13 +7,33 @@
 
 /// Keys from `first` to `last`, inclusive.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(try_from = "KeyRangeFields")]
 pub struct KeyRange {
     /// The first key.
     pub first: Key,
-    /// The last key.
+    /// The last key; not less than the first.
     pub last: Key,
 }
 
+/// A range as it was stored or sent.
+#[derive(Deserialize)]
+struct KeyRangeFields {
+    first: Key,
+    last: Key,
+}
+
+impl TryFrom<KeyRangeFields> for KeyRange {
+    type Error = MapError;
+
+    fn try_from(fields: KeyRangeFields) -> Result<Self, MapError> {
+        let KeyRangeFields { first, last } = fields;
+        match first <= last {
+            true => Ok(Self { first, last }),
+            false => Err(MapError::EmptyRange { first, last }),
+        }
+    }
+}
+
 impl KeyRange {
     /// All keys.
     pub const ALL: KeyRange = KeyRange {
@@ -170,6 +190,14 @@
     /// A key is in no range, or in two.
     #[error("the ranges do not cover every key of the section once")]
     NotAPartition,
+    /// A range ends before it begins.
+    #[error("the range from {first} to {last} ends before it begins")]
+    EmptyRange {
+        /// The first key.
+        first: Key,
+        /// The last key.
+        last: Key,
+    },
     /// A range refers to an owner that is not in the list of owners.
     #[error("a range names an owner that is not listed")]
     UnknownOwner,
