Sections with an epoch, a version or a fence that nobody assigns are refused

The epoch and the fences of a section were taken as they came, in rows and in updates of other nodes. One near the largest number overflowed with the next change; a version near it, or of another era than the epoch, counted as newer than all that was stored later, so that the map never changed again. A lease row that claims such a fence would have put it into a section.

Epochs now end at 2^31 changes of the last era, fences at that of the last change, and the version of a section must be of the era of its epoch. A row or update beyond that is refused, counted and logged; the last good section holds. The claims of a lease row with such a fence are ignored, and the row still is a lease.

Before: a_section_with_numbers_that_overflow_is_refused failed in 7 of its 10 cases, an_update_with_odd_numbers_is_refused in all 6, a_claim_with_a_fence_that_nobody_assigns_is_ignored in both. All pass now. a_deeply_nested_section_is_refused and an_update_of_an_unknown_section_is_refused passed before too.

--- a/crates/ranges/src/map.rs
+++ b/crates/ranges/src/map.rs
@@ -198,6 +198,12 @@
         /// The last key.
         last: Key,
     },
+    /// The epoch is beyond that of any change.
+    #[error("its epoch is {0}, which is out of range")]
+    EpochOutOfRange(u64),
+    /// A fence is beyond that of any change.
+    #[error("a range has the fence {0}, which is out of range")]
+    FenceOutOfRange(Fence),
     /// A range refers to an owner that is not in the list of owners.
     #[error("a range names an owner that is not listed")]
     UnknownOwner,
@@ -356,6 +362,20 @@
         }
     }
 
+    /// Returns an error if the epoch or a fence is beyond those of any change, so that
+    /// later ones could not be told from it or would overflow.
+    pub(crate) fn check_numbers(&self) -> Result<(), MapError> {
+        let count = self.epoch & ((1 << EPOCH_BITS) - 1);
+        if era_of_epoch(self.epoch) > era::MAX_ERA || count > MAX_CHANGES {
+            return Err(MapError::EpochOutOfRange(self.epoch));
+        }
+        let mut fences = self.assignments.iter().map(|a| a.fence);
+        match fences.find(|fence| *fence > MAX_FENCE) {
+            Some(fence) => Err(MapError::FenceOutOfRange(fence)),
+            None => Ok(()),
+        }
+    }
+
     /// Returns which section it is.
     pub fn index(&self) -> SectionIndex {
         self.index
@@ -471,6 +491,10 @@
 
 /// Low bits of an epoch, which count the changes of one era.
 const EPOCH_BITS: u32 = 32;
+/// Most changes of a section in one era. At a hundred a second, that takes eight months.
+const MAX_CHANGES: u64 = 1 << 31;
+/// Highest fence, that of the last change in the last era.
+pub const MAX_FENCE: Fence = fence_of(era::MAX_ERA << EPOCH_BITS | MAX_CHANGES, SECTION_COUNT - 1);
 
 /// Returns the era of a section's epoch.
 pub fn era_of_epoch(epoch: u64) -> Era {
@@ -479,7 +503,7 @@
 
 /// Returns the fence of a change; unique within the service, since no two sections
 /// share a remainder.
-fn fence_of(epoch: u64, section: SectionIndex) -> Fence {
+const fn fence_of(epoch: u64, section: SectionIndex) -> Fence {
     epoch * SECTION_COUNT as Fence + section as Fence
 }
 
@@ -599,10 +623,11 @@
         if next_first != u32::from(span.last) + 1 {
             return Err(MapError::NotAPartition);
         }
-        Ok(Self {
+        let section = Self {
             index: fields.section,
             epoch: fields.epoch,
             assignments,
-        })
+        };
+        section.check_numbers().map(|()| section)
     }
 }
--- a/crates/ranges/src/maps.rs
+++ b/crates/ranges/src/maps.rs
@@ -3,6 +3,7 @@
 
 use crate::map::{Assignment, MapSection, RangeMap, SECTION_COUNT, SectionIndex, era_of_epoch};
 use event_listener::{Event, EventListener};
+use ibiscove_store::era::era_of;
 use ibiscove_types::{RowVersion, ServiceName};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
@@ -93,13 +94,20 @@
 
 impl RangeMaps {
     /// Stores a section unless the same or a newer version is present; returns
-    /// whether it was stored.
+    /// whether it was stored. A section whose numbers nobody assigns is counted and
+    /// left out, since it would hide all later ones.
     pub fn accept(
         &self,
         service: &ServiceName,
         version: RowVersion,
         section: Arc<MapSection>,
     ) -> bool {
+        if let Err(problem) = check(version, &section) {
+            metrics::counter!("ibiscove_map_sections_refused_total").increment(1);
+            log::error!(service = &**service, section = section.index(), version;
+                "a section of the range map is refused: {problem}");
+            return false;
+        }
         let mut maps = self.lock();
         let MapHistory { map, deltas } = maps.entry(Arc::clone(service)).or_default();
         let current = Arc::clone(map.section(section.index()));
@@ -282,6 +290,16 @@
     }
 }
 
+/// Returns an error if a section is not one that a table assigns this version to.
+fn check(version: RowVersion, section: &MapSection) -> Result<(), String> {
+    section.check_numbers().map_err(|err| err.to_string())?;
+    let epoch = section.epoch();
+    match era_of(version) == era_of_epoch(epoch) {
+        true => Ok(()),
+        false => Err(format!("its version and its epoch {epoch} are of two eras")),
+    }
+}
+
 /// Returns the changes since the section of `epoch`; none when the retained
 /// deltas do not reach back to it. A section whose epoch is within a delta
 /// differs from the delta's result only in ranges that the delta contains, so a
--- a/crates/ranges/src/rows.rs
+++ b/crates/ranges/src/rows.rs
@@ -4,7 +4,7 @@
 //! end a lease, and none that was decided in an earlier era changes a row of a later
 //! one.
 
-use crate::map::{Claim, MapSection, Owner, SECTION_COUNT, SectionIndex};
+use crate::map::{Claim, MAX_FENCE, MapSection, Owner, SECTION_COUNT, SectionIndex};
 use ibiscove_store::RawRow;
 use ibiscove_store::era::Era;
 use ibiscove_types::{Incarnation, NodeName, RowVersion, UpstreamIncarnation};
@@ -145,18 +145,23 @@
 /// Returns the claims of a lease row. A row whose content is unknown still is a
 /// lease, as which only its version counts.
 fn parse_claims(key: &str, row: &RawRow) -> Option<(Owner, Vec<Claim>)> {
-    match serde_json::from_slice::<LeaseRow>(&row.body) {
-        Ok(lease) if lease.claims.is_empty() => None,
-        Ok(lease) => Some((
-            Owner {
-                node: lease.node,
-                life: lease.life,
-            },
-            lease.claims,
-        )),
+    let lease = match serde_json::from_slice::<LeaseRow>(&row.body) {
+        Ok(lease) if lease.claims.is_empty() => return None,
+        Ok(lease) => lease,
         Err(err) => {
             log::warn!("the claims of row {key} are ignored, since it is malformed: {err}");
-            None
+            return None;
         }
+    };
+    // A section with such a fence would be refused by all nodes.
+    if let Some(claim) = lease.claims.iter().find(|claim| claim.fence > MAX_FENCE) {
+        log::warn!(fence = claim.fence;
+            "the claims of row {key} are ignored, since nobody assigns this fence");
+        return None;
     }
+    let owner = Owner {
+        node: lease.node,
+        life: lease.life,
+    };
+    Some((owner, lease.claims))
 }
