Heartbeats with a negative number or no port are refused

The incarnation, the epochs of maps and the version of the lease in a heartbeat were cast to unsigned numbers. A negative one came out near the largest: later heartbeats of that node counted as overtaken, its lease was never seen to expire, or its map was fetched again and again. A port of 0 was taken for an address to send requests to.

Such a heartbeat is now malformed, which is counted, as one with any other number out of range was already.

a_heartbeat_with_a_number_out_of_range_is_refused failed before in 4 of its 10 cases: incarnation, map_epoch, lease_version and no_port. All pass now. a_garbled_heartbeat_ends_nothing, with every byte changed to every value and every length, passed before too.

--- a/crates/mesh/src/heartbeat.rs
+++ b/crates/mesh/src/heartbeat.rs
@@ -169,7 +169,17 @@
 ) -> Result<(Member, Content), HeartbeatError> {
     let presence: Presence = decode(datagram)?;
     let out_of_range = HeartbeatError::Range;
-    let port = u16::try_from(presence.gate_port).map_err(|_| out_of_range("gate_port"))?;
+    let unsigned =
+        |value: i64, field| u64::try_from(value).map_err(|_| HeartbeatError::Range(field));
+    let port = u16::try_from(presence.gate_port)
+        .ok()
+        .filter(|port| *port > 0);
+    let port = port.ok_or(out_of_range("gate_port"))?;
+    let maps: Result<Vec<_>, HeartbeatError> = presence
+        .maps
+        .into_iter()
+        .map(|map| Ok((map.service_name.into(), unsigned(map.epoch, "epoch")?)))
+        .collect();
     let content = Content {
         news: News {
             map_changes: presence.map_changes.unwrap_or_default(),
@@ -179,21 +189,16 @@
     };
     let member = Member {
         name: presence.node.into(),
-        incarnation: presence.incarnation as u64,
-        sequence: u64::try_from(presence.sequence).map_err(|_| out_of_range("sequence"))?,
+        incarnation: unsigned(presence.incarnation, "incarnation")?,
+        sequence: unsigned(presence.sequence, "sequence")?,
         data_centre: presence.data_centre.into(),
         gate: SocketAddr::new(from.ip(), port),
         service: presence.service_name.map(Into::into),
         upstream: presence.upstream.map(decode_upstream).transpose()?,
-        config_version: u64::try_from(presence.config_version)
-            .map_err(|_| out_of_range("config_version"))?,
-        maps: presence
-            .maps
-            .into_iter()
-            .map(|map| (map.service_name.into(), map.epoch as u64))
-            .collect(),
+        config_version: unsigned(presence.config_version, "config_version")?,
+        maps: maps?,
         leaving: presence.leaving,
-        lease_version: presence.lease_version as u64,
+        lease_version: unsigned(presence.lease_version, "lease_version")?,
         last_heartbeat: now,
     };
     Ok((member, content))
