Claims of a lease row for another node are ignored

A lease row that names another node than its key claimed ranges for that node, of which nobody knows that it holds them: its own lease row may say otherwise.

Such a row still is a lease of the node in its key, and claims nothing.

--- a/crates/ranges/src/rows.rs
+++ b/crates/ranges/src/rows.rs
@@ -124,7 +124,7 @@
                 snapshot.sections.push((row.version, Arc::new(parsed)));
             } else if let Some(node) = key.strip_prefix(&lease_prefix) {
                 snapshot.leases.push((node.into(), row.version));
-                snapshot.claims.extend(parse_claims(key, row));
+                snapshot.claims.extend(parse_claims(key, node, row));
             } else if *key == earlier_key {
                 return Err(RowError::EarlierFormat { key: key.clone() });
             } else {
@@ -144,7 +144,7 @@
 
 /// Returns the claims of a lease row. A row whose content is unknown still is a
 /// lease, as which only its version counts.
-fn parse_claims(key: &str, row: &RawRow) -> Option<(Owner, Vec<Claim>)> {
+fn parse_claims(key: &str, node: &str, row: &RawRow) -> Option<(Owner, Vec<Claim>)> {
     let lease = match serde_json::from_slice::<LeaseRow>(&row.body) {
         Ok(lease) if lease.claims.is_empty() => return None,
         Ok(lease) => lease,
@@ -153,6 +153,10 @@
             return None;
         }
     };
+    if *lease.node != *node {
+        log::warn!(node = &*lease.node; "the claims of row {key} are ignored, since they are for another node");
+        return None;
+    }
     // A section with such a fence would be refused by all nodes.
     if let Some(claim) = lease.claims.iter().find(|claim| claim.fence > MAX_FENCE) {
         log::warn!(fence = claim.fence;
--- a/crates/ranges/tests/odd_rows.rs
+++ b/crates/ranges/tests/odd_rows.rs
@@ -157,3 +157,15 @@
     assert!(maps.accept(&service(), 1, first));
     assert!(!maps.accept_update(&service(), section, delta(2, 1, 16)));
 }
+
+/// A lease row that claims keys for another node than its own would assign them to it.
+#[test]
+fn a_claim_for_another_node_is_ignored() {
+    let text = r#"{"node":"sidecar-2","incarnation":1,"life":{"id":"i-1","born_ms":1},
+        "claims":[{"range":{"first":50,"last":100},"fence":7}]}"#;
+    let key = rows::lease_key(SERVICE, 0, "sidecar-1");
+    let snapshot = Snapshot::parse(SERVICE, 0, &[(key, row(3, text))]);
+    let snapshot = snapshot.expect("an odd lease row is no error");
+    assert_eq!(snapshot.lease_version_of("sidecar-1"), Some(3));
+    assert!(snapshot.claims.is_empty(), "{:?}", snapshot.claims);
+}
