--- a/crates/ranges/tests/odd_rows.rs
+++ b/crates/ranges/tests/odd_rows.rs
@@ -158,6 +158,59 @@
     assert!(!maps.accept_update(&service(), section, delta(2, 1, 16)));
 }
 
+fn odd_rows() -> Vec<(String, RawRow)> {
+    vec![
+        (
+            rows::section_key(SERVICE, 0, 0),
+            row(1, &section_text("1", "7")),
+        ),
+        (
+            rows::section_key(SERVICE, 0, 1),
+            row(2, &"[".repeat(1_000_000)),
+        ),
+        (
+            rows::section_key(SERVICE, 0, 2),
+            row(3, &section_text("1", "7")),
+        ),
+        (rows::section_key(SERVICE, 0, 3), row(4, "")),
+        (rows::lease_key(SERVICE, 0, "sidecar-1"), row(5, "{}")),
+        (rows::lease_key(SERVICE, 0, "sidecar-2"), row(6, "[[[")),
+    ]
+}
+
+/// One odd section hid all other rows of the service, the leases among them.
+#[test]
+fn an_odd_section_hides_no_other_row() {
+    let snapshot = Snapshot::parse_readable(SERVICE, 0, &odd_rows());
+    let snapshot = snapshot.expect("the others hold");
+    let sections: Vec<_> = snapshot
+        .sections
+        .iter()
+        .map(|(version, section)| (*version, section.index()))
+        .collect();
+    assert_eq!(sections, [(1, 0)]);
+    assert_eq!(snapshot.lease_version_of("sidecar-1"), Some(5));
+    assert_eq!(snapshot.lease_version_of("sidecar-2"), Some(6));
+}
+
+/// An odd section taken for an absent one would count as never assigned.
+#[test]
+fn an_odd_section_is_not_absent() {
+    let snapshot = Snapshot::parse_readable(SERVICE, 0, &odd_rows());
+    let snapshot = snapshot.expect("the others hold");
+    assert_eq!(snapshot.unreadable, [(2, 1), (3, 2), (4, 3)]);
+    assert!(Snapshot::parse(SERVICE, 0, &odd_rows()).is_err());
+}
+
+/// The rows of an earlier format are not left aside with a log line.
+#[test]
+fn a_row_of_an_earlier_format_is_an_error() {
+    let mut rows = odd_rows();
+    rows.push(("ranges/deposits/map".to_owned(), row(9, "{}")));
+    let err = Snapshot::parse_readable(SERVICE, 0, &rows).expect_err("it is refused");
+    assert!(err.to_string().contains("stop all nodes"), "{err}");
+}
+
 /// A lease row that claims keys for another node than its own would assign them to it.
 #[test]
 fn a_claim_for_another_node_is_ignored() {
