Odd crash records in the table quarantine nothing

A row of the quarantine table counted under whatever key it stood. One with the most clearings could never be cleared, since the next clearing compares equal. One with a time near the largest number was cut to a sane one where it was read, and passed on as it was: as a negative one, which no other node takes.

A row must now be under the key of its request, and records with more than 2^20 clearings are refused, from rows and from news, and counted as malformed. What is passed on is the record as it was taken over.

--- a/crates/proxy/src/suspects.rs
+++ b/crates/proxy/src/suspects.rs
@@ -195,7 +195,9 @@
                 continue;
             }
             is_new = true;
-            state.push_news(record);
+            // As it was taken over, which others can take too.
+            let known = state.quarantine.record(record.fingerprint);
+            state.push_news(known.unwrap_or(record));
             if record.suspicion.is_quarantined() && !was_quarantined {
                 let fingerprint = format_fingerprint(record.fingerprint);
                 log::warn!(fingerprint = &*fingerprint, source = source;
--- a/crates/router/src/crash_news.rs
+++ b/crates/router/src/crash_news.rs
@@ -3,7 +3,7 @@
 use ibiscove_mesh::heartbeat::News;
 use ibiscove_proxy::suspects::Suspects;
 use ibiscove_routing::quarantine::{CrashRecord, Suspicion};
-use ibiscove_types::Fingerprint;
+use ibiscove_types::{Fingerprint, format_fingerprint};
 use ibiscove_wire::messages::RequestCrashes;
 use std::time::Instant;
 
@@ -26,6 +26,18 @@
     suspects.merge(decoded, sender, now);
 }
 
+/// Parses a row of the table; its key ends with `name`.
+pub fn parse_row(name: &str, body: &[u8]) -> Result<CrashRecord, String> {
+    let record: CrashRecord = serde_json::from_slice(body).map_err(|err| err.to_string())?;
+    if format_fingerprint(record.fingerprint) != name {
+        return Err("it is of another request than its key".to_owned());
+    }
+    match record.is_plausible() {
+        true => Ok(record),
+        false => Err("a number is out of range".to_owned()),
+    }
+}
+
 /// Divides records into the news of one datagram each.
 pub fn batches(records: Vec<CrashRecord>) -> impl Iterator<Item = News> {
     let crashes: Vec<RequestCrashes> = records.iter().map(encode).collect();
@@ -49,12 +61,13 @@
 }
 
 fn decode(crashes: &RequestCrashes) -> Option<CrashRecord> {
-    Some(CrashRecord {
+    let record = CrashRecord {
         fingerprint: Fingerprint::from_be_bytes(crashes.fingerprint.as_slice().try_into().ok()?),
         suspicion: Suspicion {
             clearings: u32::try_from(crashes.clearings).ok()?,
             crashes: u8::try_from(crashes.crashes).ok()?,
         },
         crashed_ms: u64::try_from(crashes.crashed_ms).ok()?,
-    })
+    };
+    record.is_plausible().then_some(record)
 }
--- a/crates/router/src/stored_suspects.rs
+++ b/crates/router/src/stored_suspects.rs
@@ -4,7 +4,7 @@
 //! found it out, and read at the start of a node. Between them nodes tell each
 //! other; the table may be away for as long as one of them lives.
 
-use crate::Router;
+use crate::{Router, crash_news};
 use ibiscove_proxy::suspects::Suspects;
 use ibiscove_ranges::Grantee;
 use ibiscove_routing::quarantine::CrashRecord;
@@ -51,7 +51,8 @@
 async fn read(table: &impl Table, suspects: &Suspects, now: Instant) -> Result<(), TableError> {
     let rows = table.scan(PREFIX).await?;
     let records = rows.iter().filter_map(|(key, row)| {
-        let record = serde_json::from_slice::<CrashRecord>(&row.body);
+        let name = key.strip_prefix(PREFIX).unwrap_or_default();
+        let record = crash_news::parse_row(name, &row.body);
         record
             .inspect_err(|err| {
                 metrics::counter!("ibiscove_crash_records_malformed_total").increment(1);
--- a/crates/routing/src/quarantine.rs
+++ b/crates/routing/src/quarantine.rs
@@ -20,6 +20,9 @@
 /// Records that are kept. A crash adds one for each slot of an upstream, so this is
 /// enough for the crashes of some hundred upstreams within the lifetime.
 pub const MAX_RECORDS: usize = 2_048;
+/// Most clearings of a request. A record beyond that is not one of a node, and could not
+/// be told from the next clearings.
+const MAX_CLEARINGS: u32 = 1 << 20;
 /// Difference between the wall clocks of two nodes that is tolerated.
 const MAX_CLOCK_DIFFERENCE: Duration = Duration::from_secs(60);
 
@@ -69,6 +72,13 @@
     pub crashed_ms: WallMillis,
 }
 
+impl CrashRecord {
+    /// Returns whether a node may have made the record.
+    pub fn is_plausible(&self) -> bool {
+        self.suspicion.clearings <= MAX_CLEARINGS
+    }
+}
+
 /// Fingerprints as JSON texts, because JSON numbers lose bits.
 mod fingerprint_text {
     use ibiscove_types::{Fingerprint, format_fingerprint, parse_fingerprint};
@@ -159,10 +169,10 @@
     }
 
     /// Takes over what another node knows. Returns whether it was new. A record that
-    /// has expired is ignored, and one from a clock that is far ahead does not last
-    /// longer for it.
+    /// has expired or is not plausible is ignored, and one from a clock that is far ahead
+    /// does not last longer for it.
     pub fn merge(&mut self, record: CrashRecord, now: WallMillis) -> bool {
-        if is_expired(&record, now) {
+        if is_expired(&record, now) || !record.is_plausible() {
             return false;
         }
         let latest = now.saturating_add(millis(MAX_CLOCK_DIFFERENCE));
