A node removes a bounded number of rows from the directory

A node that has started removes the directory rows of all nodes that have not answered, one after the other with two calls each. With thousands of rows of another writer, each node that started spent on them the calls of the table that all nodes share, leases among them.

It now removes 64 of them, chosen at random; nodes that start later remove the next.

a_node_removes_a_bounded_number_of_rows, with the loop as it was, left 0 of 1,000 rows where 936 are expected. It passes now.

--- a/crates/mesh/src/directory.rs
+++ b/crates/mesh/src/directory.rs
@@ -68,6 +68,20 @@
     Ok(node)
 }
 
+/// Most rows that a node removes at once. Each takes two calls of the table, whose rate
+/// all nodes share; a node that starts later removes the next ones.
+pub const MAX_REMOVALS: usize = 64;
+
+/// Removes the rows of nodes that will not return, a random part if these are many.
+pub async fn remove_all(table: &impl Table, names: impl Iterator<Item = &str>) {
+    for name in fastrand::choose_multiple(names, MAX_REMOVALS) {
+        if let Err(err) = remove(table, name).await {
+            log::warn!(node = name;
+                "the directory row of an unresponsive node was not removed: {err}");
+        }
+    }
+}
+
 /// Removes the row of a node that will not return.
 pub async fn remove(table: &impl Table, name: &str) -> Result<(), TableError> {
     let key = format!("{PREFIX}{name}");
--- a/crates/mesh/tests/all/directory.rs
+++ b/crates/mesh/tests/all/directory.rs
@@ -53,3 +53,21 @@
         assert_eq!(nodes, others);
     });
 }
+
+/// Thousands of rows of another writer made each node that started spend the calls of the
+/// table, which all nodes share, on their removal.
+#[test]
+fn a_node_removes_a_bounded_number_of_rows() {
+    smol::block_on(async {
+        let table = MemoryPlatform::default();
+        let count = 1_000;
+        for i in 0..count {
+            let text = format!(r#"{{"name":"odd-{i}","ip":"10.1.0.9"}}"#);
+            put(&table, &format!("nodes/all/odd-{i}"), &text);
+        }
+        let nodes = directory::read(&table).await.expect("the table responds");
+        directory::remove_all(&table, nodes.iter().map(|node| &*node.name)).await;
+        let left = directory::read(&table).await.expect("the table responds");
+        assert_eq!(left.len(), count - directory::MAX_REMOVALS);
+    });
+}
--- a/crates/router/src/join.rs
+++ b/crates/router/src/join.rs
@@ -107,11 +107,7 @@
         let members = &self.inner.members;
         let is_unresponsive =
             |node: &&NodeAddress| node.name != own && members.get(&node.name).is_none();
-        for node in nodes.iter().filter(is_unresponsive) {
-            if let Err(err) = directory::remove(&self.inner.table, &node.name).await {
-                log::warn!(node = &*node.name;
-                    "the directory row of an unresponsive node was not removed: {err}");
-            }
-        }
+        let names = nodes.iter().filter(is_unresponsive).map(|node| &*node.name);
+        directory::remove_all(&self.inner.table, names).await;
     }
 }
