A round of introductions is bounded

A node that starts sends heartbeats to all addresses of the directory, every 400 ms for ten seconds. Thousands of rows of another writer would have filled its link meanwhile.

It now sends to 512 addresses a round, in turn if there are more; meshes have fewer nodes, and see no difference.

a_round_of_introductions_is_bounded, with the rounds as they were, met a round of 5000 in the case thousands. All 3 cases pass now.

--- a/crates/mesh/src/directory.rs
+++ b/crates/mesh/src/directory.rs
@@ -7,7 +7,9 @@
 
 use ibiscove_store::{Commit, Condition, Table, TableError, Transaction, Write};
 use serde::{Deserialize, Serialize};
+use std::collections::VecDeque;
 use std::net::{IpAddr, Ipv4Addr};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// Prefix of the directory's keys: table and partition.
 const PREFIX: &str = "nodes/all/";
@@ -21,6 +23,34 @@
     pub ip: IpAddr,
 }
 
+/// Most addresses that one round of heartbeats introduces this node to; more than a mesh
+/// has nodes.
+pub const MAX_INTRODUCTIONS: usize = 512;
+
+/// Addresses from the directory that have not answered yet. Clones share them.
+#[derive(Clone, Default)]
+pub struct Introductions(Arc<Mutex<VecDeque<IpAddr>>>);
+
+impl Introductions {
+    /// Replaces the addresses.
+    pub fn set(&self, addresses: impl IntoIterator<Item = IpAddr>) {
+        *self.lock() = addresses.into_iter().collect();
+    }
+
+    /// Returns the addresses for the next round of heartbeats: all of them, or in turn a
+    /// part if there are more than nodes can be.
+    pub fn next_round(&self) -> Vec<IpAddr> {
+        let mut addresses = self.lock();
+        let count = addresses.len().min(MAX_INTRODUCTIONS);
+        addresses.rotate_left(count);
+        addresses.iter().rev().take(count).copied().collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, VecDeque<IpAddr>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// Writes this node's row, replacing an earlier one.
 pub async fn register(table: &impl Table, own: &NodeAddress) -> Result<(), TableError> {
     let body = serde_json::to_vec(own).map_err(|err| {
--- a/crates/mesh/tests/all/directory.rs
+++ b/crates/mesh/tests/all/directory.rs
@@ -1,7 +1,9 @@
 //! Rows of the directory that another writer may have made.
 
-use ibiscove_mesh::directory::{self, NodeAddress};
+use ibiscove_mesh::directory::{self, Introductions, MAX_INTRODUCTIONS, NodeAddress};
 use ibiscove_store::{MemoryPlatform, Transaction, Write};
+use std::collections::BTreeSet;
+use std::net::{IpAddr, Ipv4Addr};
 use yare::parameterized;
 
 fn put(table: &MemoryPlatform, key: &str, text: &str) {
@@ -71,3 +73,23 @@
         assert_eq!(left.len(), count - directory::MAX_REMOVALS);
     });
 }
+
+/// Thousands of rows of another writer made each round of heartbeats of a node that
+/// starts fill its link. Every address must still have its turn.
+#[parameterized(
+    mesh = { 196, 1 },
+    most = { MAX_INTRODUCTIONS, 1 },
+    thousands = { 5_000, 10 },
+)]
+fn a_round_of_introductions_is_bounded(count: usize, rounds: usize) {
+    let addresses = (0..count).map(|i| IpAddr::from(Ipv4Addr::from_bits(i as u32 + 1)));
+    let introductions = Introductions::default();
+    introductions.set(addresses);
+    let mut introduced = BTreeSet::new();
+    for _ in 0..rounds {
+        let round = introductions.next_round();
+        assert!(round.len() <= MAX_INTRODUCTIONS, "{}", round.len());
+        introduced.extend(round);
+    }
+    assert_eq!(introduced.len(), count);
+}
--- a/crates/router/src/join.rs
+++ b/crates/router/src/join.rs
@@ -2,12 +2,10 @@
 //! share, and sends heartbeats to the nodes listed there.
 
 use crate::Router;
-use ibiscove_mesh::directory::{self, NodeAddress};
+use ibiscove_mesh::directory::{self, Introductions, NodeAddress};
 use ibiscove_ranges::Grantee;
 use ibiscove_store::{Table, TableError};
 use ibiscove_types::{BootClock, Clock};
-use std::net::IpAddr;
-use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 /// Delay after a failed call, half of it random jitter.
@@ -22,23 +20,6 @@
 /// Interval between two checks for a new era, which make no calls.
 const ERA_POLL_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Addresses from the directory. Clones share them.
-#[derive(Clone, Default)]
-pub(crate) struct DirectoryAddresses(Arc<Mutex<Vec<IpAddr>>>);
-
-impl DirectoryAddresses {
-    pub(crate) fn addresses(&self) -> Vec<IpAddr> {
-        self.0
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
-    }
-
-    fn set(&self, addresses: Vec<IpAddr>) {
-        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = addresses;
-    }
-}
-
 impl<T: Table, G: Grantee, C: Clock + BootClock> Router<T, G, C> {
     /// Registers this node, reads the directory and sends heartbeats to all nodes.
     ///
@@ -46,7 +27,7 @@
     /// reads the other's row, and each responds to the other's heartbeats. After the
     /// table has returned from an earlier copy, which may lack rows, nodes register
     /// again.
-    pub(crate) async fn join(self, addresses: DirectoryAddresses) {
+    pub(crate) async fn join(self, addresses: Introductions) {
         let clock = &self.inner.clock;
         let mut joined_in = None;
         let mut introduction: Option<(Instant, Vec<NodeAddress>)> = None;
@@ -69,7 +50,7 @@
 
     /// Registers this node and sends heartbeats to all nodes of the directory, which
     /// it returns.
-    async fn register_and_greet(&self, addresses: &DirectoryAddresses) -> Vec<NodeAddress> {
+    async fn register_and_greet(&self, addresses: &Introductions) -> Vec<NodeAddress> {
         let clock = &self.inner.clock;
         let nodes = loop {
             match self.register().await {
@@ -85,7 +66,7 @@
         log::info!(nodes = nodes.len(); "joined");
         let own = self.inner.settings.addrs.peers.ip();
         let others = nodes.iter().map(|node| node.ip).filter(|ip| *ip != own);
-        addresses.set(others.collect());
+        addresses.set(others);
         self.inner.heartbeat_due.notify(usize::MAX);
         nodes
     }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -20,6 +20,7 @@
 use event_listener::Event;
 use ibiscove_http::body::BodyBudget;
 use ibiscove_http::{Pool, PoolSettings, Server, ServerSettings};
+use ibiscove_mesh::directory::Introductions;
 use ibiscove_mesh::heartbeat::News;
 use ibiscove_mesh::{Members, Upstream, followers, heartbeat};
 use ibiscove_proxy::entry::{EntryDependencies, NodeIdentity};
@@ -234,7 +235,7 @@
             });
         smol::spawn(serve_callers).detach();
         smol::spawn(serve_peers).detach();
-        let addresses = join::DirectoryAddresses::default();
+        let addresses = Introductions::default();
         let own = self.clone();
         let unconfirmed = addresses.clone();
         let members = inner.members.clone();
@@ -244,7 +245,7 @@
             inner.clock.clone(),
             Arc::clone(&inner.heartbeat_due),
             move || own.presence(),
-            move || unconfirmed.addresses(),
+            move || unconfirmed.next_round(),
         ))
         .detach();
         let own = self.clone();
