--- a/crates/mesh/tests/all/main.rs
+++ b/crates/mesh/tests/all/main.rs
@@ -1,5 +1,7 @@
 //! Tests of the mesh without a network.
 
+mod directory;
 mod followers;
+mod heartbeats;
 mod spread;
 mod support;
--- a/crates/ranges/src/rows.rs
+++ b/crates/ranges/src/rows.rs
@@ -4,7 +4,7 @@
 //! end a lease, and none that was decided in an earlier era changes a row of a later
 //! one.
 
-use crate::map::{Claim, MapSection, Owner, SECTION_COUNT, SectionIndex};
+use crate::map::{Claim, MAX_FENCE, MapSection, Owner, SECTION_COUNT, SectionIndex};
 use ibiscove_store::RawRow;
 use ibiscove_store::era::Era;
 use ibiscove_types::{Incarnation, NodeName, RowVersion, UpstreamIncarnation};
@@ -109,22 +109,58 @@
     pub leases: Vec<(NodeName, RowVersion)>,
     /// Ranges that lease rows claim.
     pub claims: Vec<(Owner, Vec<Claim>)>,
+    /// The sections whose rows exist and cannot be read, each with its row's version.
+    /// Nothing is known of their owners.
+    pub unreadable: Vec<(RowVersion, SectionIndex)>,
 }
 
 impl Snapshot {
-    /// Parses the rows of a scan. Rows with an unknown key are counted and
-    /// ignored.
+    /// Parses the rows of a scan, of which all sections must be readable. Rows with an
+    /// unknown key are counted and ignored.
     pub fn parse(service: &str, era: Era, rows: &[(String, RawRow)]) -> Result<Self, RowError> {
+        let (snapshot, errors) = Self::parse_each(service, era, rows)?;
+        errors.into_iter().next().map_or(Ok(snapshot), Err)
+    }
+
+    /// Parses the rows of a scan. Sections that cannot be read are counted, logged and
+    /// listed as such. The known state of one says who owned its keys, and not who owns
+    /// them now: no key of it may be assigned, nor granted under a lease that was
+    /// acquired since.
+    pub fn parse_readable(
+        service: &str,
+        era: Era,
+        rows: &[(String, RawRow)],
+    ) -> Result<Self, RowError> {
+        let (snapshot, errors) = Self::parse_each(service, era, rows)?;
+        for err in errors {
+            metrics::counter!("ibiscove_rows_malformed_total").increment(1);
+            log::error!("a section of the range map of {service} cannot be read: {err}");
+        }
+        Ok(snapshot)
+    }
+
+    /// Parses the rows of a scan; also returns why sections are unreadable.
+    fn parse_each(
+        service: &str,
+        era: Era,
+        rows: &[(String, RawRow)],
+    ) -> Result<(Self, Vec<RowError>), RowError> {
         let mut snapshot = Self::default();
+        let mut errors = Vec::new();
         let earlier_key = format!("{}map", prefix(service, era));
         let lease_prefix = lease_key(service, era, "");
         for (key, row) in rows {
             if let Some(section) = section_of_key(service, era, key) {
-                let parsed = parse_section(key, section, row)?;
-                snapshot.sections.push((row.version, Arc::new(parsed)));
+                match parse_section(key, section, row) {
+                    Ok(parsed) => snapshot.sections.push((row.version, Arc::new(parsed))),
+                    Err(err) => {
+                        snapshot.unreadable.push((row.version, section));
+                        errors.push(err);
+                    }
+                }
             } else if let Some(node) = key.strip_prefix(&lease_prefix) {
                 snapshot.leases.push((node.into(), row.version));
-                snapshot.claims.extend(parse_claims(key, row));
+                snapshot.claims.extend(parse_claims(key, node, row));
             } else if *key == earlier_key {
                 return Err(RowError::EarlierFormat { key: key.clone() });
             } else {
@@ -132,7 +168,7 @@
                 log::warn!("row {key} is ignored: its key is neither a map nor a lease key");
             }
         }
-        Ok(snapshot)
+        Ok((snapshot, errors))
     }
 
     /// Returns the version of a node's lease row, if it exists.
@@ -144,19 +180,28 @@
 
 /// Returns the claims of a lease row. A row whose content is unknown still is a
 /// lease, as which only its version counts.
-fn parse_claims(key: &str, row: &RawRow) -> Option<(Owner, Vec<Claim>)> {
-    match serde_json::from_slice::<LeaseRow>(&row.body) {
-        Ok(lease) if lease.claims.is_empty() => None,
-        Ok(lease) => Some((
-            Owner {
-                node: lease.node,
-                life: lease.life,
-            },
-            lease.claims,
-        )),
+fn parse_claims(key: &str, node: &str, row: &RawRow) -> Option<(Owner, Vec<Claim>)> {
+    let lease = match serde_json::from_slice::<LeaseRow>(&row.body) {
+        Ok(lease) if lease.claims.is_empty() => return None,
+        Ok(lease) => lease,
         Err(err) => {
             log::warn!("the claims of row {key} are ignored, since it is malformed: {err}");
-            None
+            return None;
         }
+    };
+    if *lease.node != *node {
+        log::warn!(node = &*lease.node; "the claims of row {key} are ignored, since they are for another node");
+        return None;
+    }
+    // A section with such a fence would be refused by all nodes.
+    if let Some(claim) = lease.claims.iter().find(|claim| claim.fence > MAX_FENCE) {
+        log::warn!(fence = claim.fence;
+            "the claims of row {key} are ignored, since nobody assigns this fence");
+        return None;
     }
+    let owner = Owner {
+        node: lease.node,
+        life: lease.life,
+    };
+    Some((owner, lease.claims))
 }
