A grant is sent on a connection of its incarnation or not at all

Cause: the client of the endpoint checked for an idle connection, or an announcement younger than 300 ms, and the pool chose a connection later. When another call had taken the idle one, or it had died, the pool opened a new one, which may lead to the next process at the address. That process then got a grant under the fence of the last one. The age of the announcement was measured by a clock that stands still with a suspended machine.

Change: the client keeps the connections of the announced incarnation itself and sends a grant on one of them. A new one is opened within 300 ms of an announcement, by the boot clock, and checked again once it is established. A connection that the endpoint closed or refused, seen in the socket itself, and an announcement of a replaced incarnation are signs that the process may have ended: then only an announcement 300 ms later or more counts. Releases use the same connections; without one they go to whoever listens, as before, since a later process answers only once the holder has ended.

The pool's own path is unchanged; connecting and the handshake are separate functions, and has_idle has no caller left.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -7,6 +7,7 @@
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, Response};
 use smol::future::FutureExt;
+use smol::io::{AsyncRead, AsyncWrite};
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 use std::collections::HashMap;
@@ -101,8 +102,8 @@
 
 /// A connection and the task that drives it. Dropping it closes the connection
 /// at once, so that the server can cancel the request.
-struct Connection {
-    sender: SendRequest<Body>,
+pub(crate) struct Connection {
+    pub(crate) sender: SendRequest<Body>,
     /// Whether a response has come on it.
     has_answered: bool,
     _driver: smol::Task<()>,
@@ -113,6 +114,29 @@
 const READY_TIMEOUT: Duration = Duration::from_millis(5);
 
 impl Connection {
+    /// Starts HTTP on a connected stream.
+    pub(crate) async fn start<S>(addr: SocketAddr, stream: S) -> Result<Self, SendError>
+    where
+        S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    {
+        let (sender, driver) = http1::handshake(FuturesIo::new(stream))
+            .await
+            .map_err(|cause| SendError::Connect {
+                addr,
+                cause: io::Error::other(cause),
+            })?;
+        let driver = smol::spawn(async move {
+            if let Err(err) = driver.await {
+                log::debug!("HTTP client: connection to {addr} closed: {err}");
+            }
+        });
+        Ok(Self {
+            sender,
+            has_answered: false,
+            _driver: driver,
+        })
+    }
+
     /// Waits until the connection accepts a request; returns whether it does so
     /// within [`READY_TIMEOUT`].
     async fn wait_until_ready(&mut self) -> bool {
@@ -186,11 +210,7 @@
         mut req: Request<Body>,
         max_idle: Duration,
     ) -> Result<Exchange, SendError> {
-        if !req.headers().contains_key(HOST)
-            && let Ok(host) = HeaderValue::from_str(&addr.to_string())
-        {
-            req.headers_mut().insert(HOST, host);
-        }
+        set_host(&mut req, addr);
         while let Some(mut connection) = self.take_idle(addr, max_idle) {
             if !connection.wait_until_ready().await {
                 continue;
@@ -206,15 +226,6 @@
         sent.map_err(|(err, _)| err)
     }
 
-    /// Returns whether an idle connection to an address can be reused now.
-    pub fn has_idle(&self, addr: SocketAddr) -> bool {
-        let now = Instant::now();
-        let max_idle = self.inner.settings.max_idle;
-        let idle_by_addr = self.lock();
-        let mut connections = idle_by_addr.get(&addr).into_iter().flatten();
-        connections.any(|idle| is_reusable(idle, now, max_idle))
-    }
-
     /// Returns whether an address refuses connections, so that no process listens
     /// there. A connection that it accepts is kept for reuse.
     pub async fn is_refused(&self, addr: SocketAddr) -> bool {
@@ -258,32 +269,8 @@
     }
 
     async fn connect(&self, addr: SocketAddr) -> Result<Connection, SendError> {
-        let settings = &self.inner.settings;
-        let timeout = async {
-            smol::Timer::after(settings.connect_timeout).await;
-            Err(io::ErrorKind::TimedOut.into())
-        };
-        let failed = |cause| SendError::Connect { addr, cause };
-        let connecting = TcpStream::connect(addr);
-        let stream = connecting.or(timeout).await.map_err(failed)?;
-        socket::configure(&stream).map_err(failed)?;
-        if settings.reset_on_close {
-            socket::reset_on_close(&stream).map_err(failed)?;
-        }
-        metrics::counter!("ibiscove_connections_opened_total").increment(1);
-        let (sender, driver) = http1::handshake(FuturesIo::new(stream))
-            .await
-            .map_err(|cause| failed(io::Error::other(cause)))?;
-        let driver = smol::spawn(async move {
-            if let Err(err) = driver.await {
-                log::debug!("HTTP client: connection to {addr} closed: {err}");
-            }
-        });
-        Ok(Connection {
-            sender,
-            has_answered: false,
-            _driver: driver,
-        })
+        let stream = connect(addr, &self.inner.settings).await?;
+        Connection::start(addr, stream).await
     }
 
     async fn exchange(
@@ -326,6 +313,35 @@
     }
 }
 
+/// Connects a stream to an address.
+pub(crate) async fn connect(
+    addr: SocketAddr,
+    settings: &PoolSettings,
+) -> Result<TcpStream, SendError> {
+    let timeout = async {
+        smol::Timer::after(settings.connect_timeout).await;
+        Err(io::ErrorKind::TimedOut.into())
+    };
+    let failed = |cause| SendError::Connect { addr, cause };
+    let connecting = TcpStream::connect(addr);
+    let stream = connecting.or(timeout).await.map_err(failed)?;
+    socket::configure(&stream).map_err(failed)?;
+    if settings.reset_on_close {
+        socket::reset_on_close(&stream).map_err(failed)?;
+    }
+    metrics::counter!("ibiscove_connections_opened_total").increment(1);
+    Ok(stream)
+}
+
+/// Sets the `Host` header, if there is none, to the address.
+pub(crate) fn set_host(req: &mut Request<Body>, addr: SocketAddr) {
+    if !req.headers().contains_key(HOST)
+        && let Ok(host) = HeaderValue::from_str(&addr.to_string())
+    {
+        req.headers_mut().insert(HOST, host);
+    }
+}
+
 fn is_reusable(idle: &IdleConnection, now: Instant, max_idle: Duration) -> bool {
     let age = now.saturating_duration_since(idle.idle_since);
     age < max_idle && now < idle.reusable_until && !idle.connection.sender.is_closed()
@@ -336,7 +352,7 @@
 const KEEP_ALIVE_FRACTION: f64 = 0.5;
 
 /// Returns until when a connection may be reused; none if it must be closed.
-fn reusable_until(response: &Response<Incoming>, max_idle: Duration) -> Option<Instant> {
+pub(crate) fn reusable_until(response: &Response<Incoming>, max_idle: Duration) -> Option<Instant> {
     let headers = response.headers();
     let is_closing = headers
         .get_all(hyper::header::CONNECTION)
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -7,17 +7,20 @@
 //! connections to other nodes, to the upstream and to the table service. It
 //! guarantees that a request whose error is [`client::SendError::NotSent`] has
 //! not left this process, and that a connection is reused only if its last
-//! exchange completed.
+//! exchange completed. [`direct::DirectConnection`] is for calls that are meant for
+//! one process, and not for whichever listens at its address.
 //!
 //! `docs/house-style.md` explains why the other listeners use another HTTP
 //! library.
 
 pub mod body;
 pub mod client;
+pub mod direct;
 pub mod headers;
 pub mod server;
 pub mod socket;
 
 pub use body::Body;
 pub use client::{Exchange, Pool, PoolSettings, SendError};
+pub use direct::DirectConnection;
 pub use server::{Server, ServerSettings};
--- a/crates/http/src/socket.rs
+++ b/crates/http/src/socket.rs
@@ -3,6 +3,7 @@
 use smol::net::TcpStream;
 use socket2::{SockRef, TcpKeepalive};
 use std::io;
+use std::mem::MaybeUninit;
 use std::time::Duration;
 
 /// Time that sent bytes may remain unacknowledged before the connection fails.
@@ -30,3 +31,9 @@
 pub fn reset_on_close(stream: &TcpStream) -> io::Result<()> {
     SockRef::from(stream).set_linger(Some(Duration::ZERO))
 }
+
+/// Returns whether a stream is open and there is nothing to read from it.
+pub fn is_quiet(stream: &TcpStream) -> bool {
+    let peeked = SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]);
+    peeked.is_err_and(|err| err.kind() == io::ErrorKind::WouldBlock)
+}
--- a/crates/http/tests/client.rs
+++ b/crates/http/tests/client.rs
@@ -3,7 +3,7 @@
 
 use hyper::{Method, Request};
 use ibiscove_http::body::{read_up_to, read_whole};
-use ibiscove_http::{Body, Exchange, Pool, PoolSettings, SendError};
+use ibiscove_http::{Body, DirectConnection, Exchange, Pool, PoolSettings, SendError};
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::{TcpListener, TcpStream};
 use std::net::SocketAddr;
@@ -304,3 +304,19 @@
         assert!(sent.is_some(), "the connection is closed");
     });
 }
+
+/// Only the process that accepted a connection may get what is sent on it.
+#[test]
+fn a_direct_connection_is_not_replaced_when_it_fails() {
+    smol::block_on(async {
+        let (addr, connections) = server(&[OK]).await;
+        let opened = DirectConnection::open(addr, &PoolSettings::default()).await;
+        let mut connection = opened.expect("the server listens");
+        let response = connection.send(request("order")).await;
+        let body = response.expect("the server answers").into_body();
+        read_whole(body, 1 << 20).await.expect("the body is whole");
+        assert!(connection.send(request("order")).await.is_err());
+        assert!(!connection.is_reusable());
+        assert_eq!(connections.load(Ordering::SeqCst), 1);
+    });
+}
