A grant call is written in time or not at all

Cause: a node counts a grant from the stamp of its call and allowed 100 ms for its arrival, which nothing enforced. After the stamp the call may wait for a connection, its driver, the processor or a suspended machine, and was written however late it was. The upstream counts from the arrival, and may then hold keys beyond the lease.

Change: GrantCall::send_by is the latest moment for writing the call, by the boot clock. DirectConnection reads the clock directly before each write and refuses a late one; nothing of the call has left then, and the reply is NotSent. If a part was written before, it is Unanswered. GrantSettings::max_delivery_delay is now the sum of max_send_delay (300 ms) and max_transit_delay (100 ms), so grants end 300 ms earlier within a lease, and a released range with an unanswered grant waits 300 ms longer.

Tests that change: the bounds in crates/ranges/tests/grants.rs move by the 300 ms (5,690 to 5,990 ms; the short lease from 2,140 to 2,440 ms for the same duration). With zero the mutated timing is the former one.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -59,6 +59,12 @@
         /// The address.
         addr: SocketAddr,
     },
+    /// The latest moment for writing the request had passed; nothing was sent.
+    #[error("the request was too late to be sent to {addr}")]
+    TooLate {
+        /// The address.
+        addr: SocketAddr,
+    },
     /// The request was sent, at least in part, and no response was received.
     #[error("no answer from {addr}: {cause}")]
     Lost {
--- a/crates/http/tests/client.rs
+++ b/crates/http/tests/client.rs
@@ -4,6 +4,7 @@
 use hyper::{Method, Request};
 use ibiscove_http::body::{read_up_to, read_whole};
 use ibiscove_http::{Body, DirectConnection, Exchange, Pool, PoolSettings, SendError};
+use ibiscove_types::{BootClock, SinceBoot, SystemClock};
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::{TcpListener, TcpStream};
 use std::net::SocketAddr;
@@ -310,13 +311,105 @@
 fn a_direct_connection_is_not_replaced_when_it_fails() {
     smol::block_on(async {
         let (addr, connections) = server(&[OK]).await;
-        let opened = DirectConnection::open(addr, &PoolSettings::default()).await;
+        let opened = DirectConnection::open(addr, &PoolSettings::default(), SystemClock).await;
         let mut connection = opened.expect("the server listens");
-        let response = connection.send(request("order")).await;
+        let response = connection.send(request("order"), None).await;
         let body = response.expect("the server answers").into_body();
         read_whole(body, 1 << 20).await.expect("the body is whole");
-        assert!(connection.send(request("order")).await.is_err());
+        assert!(connection.send(request("order"), None).await.is_err());
         assert!(!connection.is_reusable());
         assert_eq!(connections.load(Ordering::SeqCst), 1);
     });
 }
+
+/// A clock that jumps ahead after some readings.
+#[derive(Clone)]
+struct JumpingClock {
+    readings: Arc<AtomicUsize>,
+    jumps_after: usize,
+}
+
+impl JumpingClock {
+    const JUMP: Duration = Duration::from_secs(10);
+
+    fn new(jumps_after: usize) -> Self {
+        Self {
+            readings: Arc::default(),
+            jumps_after,
+        }
+    }
+}
+
+impl BootClock for JumpingClock {
+    fn since_boot(&self) -> SinceBoot {
+        let readings = self.readings.fetch_add(1, Ordering::SeqCst);
+        match readings < self.jumps_after {
+            true => SinceBoot::ZERO,
+            false => Self::JUMP,
+        }
+    }
+}
+
+const WRITE_BY: Option<SinceBoot> = Some(Duration::from_millis(300));
+
+/// Starts a server that never answers. Returns its address and, once the connection
+/// has ended, the number of bytes that arrived.
+async fn silent_server() -> (SocketAddr, smol::Task<usize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let addr = listener.local_addr().expect("a bound address");
+    let reading = smol::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("the client connects");
+        let mut buf = vec![0; 64 << 10];
+        let mut bytes = 0;
+        while let Ok(read @ 1..) = stream.read(&mut buf).await {
+            bytes += read;
+        }
+        bytes
+    });
+    (addr, reading)
+}
+
+/// The clock may jump before the request, and between any two writes.
+#[parameterized(
+    before_the_request = { 0, true },
+    before_the_first_write = { 1, true },
+    before_the_second_write = { 2, false },
+)]
+fn nothing_is_written_after_the_latest_moment(jumps_after: usize, is_unsent: bool) {
+    smol::block_on(async {
+        let (addr, reading) = silent_server().await;
+        let clock = JumpingClock::new(jumps_after);
+        let opened = DirectConnection::open(addr, &PoolSettings::default(), clock).await;
+        let mut connection = opened.expect("the server listens");
+        // More than the buffers of the two sockets hold.
+        let length = 32 << 20;
+        let sending = connection.send(request(&"x".repeat(length)), WRITE_BY);
+        let sent = within(Duration::from_secs(20), sending).await;
+        let sent = sent.expect("the write is refused");
+        let err = sent.expect_err("the request is late");
+        assert_eq!(err.is_unsent(), is_unsent, "{err}");
+        assert_eq!(matches!(err, SendError::TooLate { .. }), is_unsent);
+        drop(connection);
+        let bytes = reading.await;
+        assert!(bytes < length, "{bytes} bytes arrived");
+        assert!(!is_unsent || bytes == 0, "{bytes} bytes arrived");
+    });
+}
+
+#[test]
+fn a_request_that_is_late_at_once_leaves_its_connection_usable() {
+    smol::block_on(async {
+        let (addr, connections) = server(&[OK, OK]).await;
+        let clock = JumpingClock::new(0);
+        let opened = DirectConnection::open(addr, &PoolSettings::default(), clock).await;
+        let mut connection = opened.expect("the server listens");
+        let late = connection.send(request("order"), WRITE_BY).await;
+        assert!(matches!(late, Err(SendError::TooLate { .. })));
+        assert!(connection.is_reusable());
+        let in_time = connection
+            .send(request("order"), Some(JumpingClock::JUMP))
+            .await;
+        assert_eq!(in_time.expect("the server answers").status(), 200);
+        assert_eq!(connections.load(Ordering::SeqCst), 1);
+    });
+}
--- a/crates/ranges/src/grants.rs
+++ b/crates/ranges/src/grants.rs
@@ -26,6 +26,9 @@
     pub fence: Fence,
     /// How long the upstream may serve the keys, from the arrival of the call.
     pub duration: Duration,
+    /// When the call may be written to the upstream at the latest, by this node's
+    /// clock; after that, others may own the keys before the grant has expired.
+    pub send_by: SinceBoot,
     /// Opaque state that the previous owner returned on release.
     pub handover: Option<Arc<str>>,
 }
@@ -103,8 +106,10 @@
     pub renew_interval: Duration,
     /// How much slower an upstream's clock may run, as a fraction.
     pub max_clock_drift: f64,
-    /// Longest delivery time of a call on the same machine.
-    pub max_delivery_delay: Duration,
+    /// Time within which a call is written to the upstream, or not at all.
+    pub max_send_delay: Duration,
+    /// Longest time from writing a call to its arrival, on the same machine.
+    pub max_transit_delay: Duration,
     /// Timeout of a grant call.
     pub call_timeout: Duration,
     /// Timeout of a release call, within which running work should end.
@@ -122,7 +127,8 @@
             duration: Duration::from_millis(4_500),
             renew_interval: Duration::from_millis(1_500),
             max_clock_drift: 0.02,
-            max_delivery_delay: Duration::from_millis(100),
+            max_send_delay: Duration::from_millis(300),
+            max_transit_delay: Duration::from_millis(100),
             call_timeout: Duration::from_millis(400),
             release_timeout: Duration::from_millis(3_000),
             answer_window: Duration::from_millis(1_000),
@@ -131,6 +137,13 @@
     }
 }
 
+impl GrantSettings {
+    /// Returns the longest time until a call arrives.
+    pub fn max_delivery_delay(&self) -> Duration {
+        self.max_send_delay + self.max_transit_delay
+    }
+}
+
 /// Grant state of one range.
 #[derive(Clone, Debug, PartialEq)]
 struct RangeGrant {
@@ -291,6 +304,7 @@
             range: g.range,
             fence: g.fence,
             duration,
+            send_by: now + settings.max_send_delay,
             handover: g.handover.clone().filter(|_| g.confirmed_until.is_none()),
         })
     }
@@ -407,11 +421,11 @@
 ) -> Option<Duration> {
     let remaining = lease_end
         .checked_sub(now)?
-        .checked_sub(settings.max_delivery_delay)?;
+        .checked_sub(settings.max_delivery_delay())?;
     let duration = remaining
         .div_f64(1.0 + settings.max_clock_drift)
         .min(settings.duration);
-    (duration >= settings.max_delivery_delay).then_some(duration)
+    (duration >= settings.max_delivery_delay()).then_some(duration)
 }
 
 /// Returns when a grant that was sent at `sent` has expired on the slowest
@@ -421,5 +435,5 @@
     duration: Duration,
     sent: SinceBoot,
 ) -> SinceBoot {
-    sent + settings.max_delivery_delay + duration.mul_f64(1.0 + settings.max_clock_drift)
+    sent + settings.max_delivery_delay() + duration.mul_f64(1.0 + settings.max_clock_drift)
 }
--- a/crates/ranges/tests/explorer/regressions.rs
+++ b/crates/ranges/tests/explorer/regressions.rs
@@ -160,9 +160,10 @@
             ..LeaseSettings::default()
         },
         grants: GrantSettings {
-            // As if no upstream clock were slow, by far more than is real: a
-            // grant outlasts the lease.
+            // As if no upstream clock were slow, by far more than is real, and every
+            // call were written at once: a grant outlasts the lease.
             max_clock_drift: -0.5,
+            max_send_delay: Duration::ZERO,
             ..GrantSettings::default()
         },
         ..ControllerSettings::default()
--- a/crates/ranges/tests/explorer/reports.rs
+++ b/crates/ranges/tests/explorer/reports.rs
@@ -5,7 +5,7 @@
 use crate::upstreams::SimUpstreams;
 use ibiscove_ranges::{GrantCall, HeldRange, HoldList, HoldReport, ReleasedRange};
 use ibiscove_sim::ENVIRONMENT;
-use ibiscove_types::UpstreamIncarnation;
+use ibiscove_types::{SinceBoot, UpstreamIncarnation};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -178,6 +178,7 @@
                 range: grant.range,
                 fence: grant.fence,
                 duration: list.duration,
+                send_by: SinceBoot::MAX,
                 handover: grant.handover.clone(),
             };
             self.apply(index, &report.incarnation, &call, counted_from);
--- a/crates/ranges/tests/grants.rs
+++ b/crates/ranges/tests/grants.rs
@@ -38,7 +38,7 @@
 
 #[parameterized(
     long_lease = { 60_000, Some(4_500) },
-    short_lease = { 2_140, Some(2_000) },
+    short_lease = { 2_440, Some(2_000) },
     shorter_than_the_delivery_delay = { 150, None },
     expired_lease = { 0, None },
 )]
@@ -50,7 +50,8 @@
         expected
     );
     if let Some(duration) = duration {
-        let expiry = settings.max_delivery_delay + duration.mul_f64(1.0 + settings.max_clock_drift);
+        let expiry =
+            settings.max_delivery_delay() + duration.mul_f64(1.0 + settings.max_clock_drift);
         assert!(expiry <= ms(remaining), "the grant outlasts the lease");
     }
 }
@@ -61,6 +62,7 @@
     grants.sync_with(&owned());
     let call = due(&mut grants, ms(60_000), ms(1_000)).expect("the grant is due");
     assert_eq!(call.handover.as_deref(), Some("token"));
+    assert_eq!(call.send_by, ms(1_300));
     assert!(
         !grants.is_granted(7, ms(1_001)),
         "no key is served before the confirmation"
@@ -79,8 +81,8 @@
 
 #[parameterized(
     released = { ReleaseReply::Released { handover: None }, GrantReply::Granted, 0 },
-    released_after_an_unanswered_grant = { ReleaseReply::Released { handover: None }, GrantReply::Unanswered, 5_690 },
-    unanswered_release = { ReleaseReply::Unanswered, GrantReply::Granted, 5_690 },
+    released_after_an_unanswered_grant = { ReleaseReply::Released { handover: None }, GrantReply::Unanswered, 5_990 },
+    unanswered_release = { ReleaseReply::Unanswered, GrantReply::Granted, 5_990 },
     process_ended = { ReleaseReply::Ended, GrantReply::Unanswered, 0 },
 )]
 fn released_range_is_transferable_once_no_grant_of_it_can_be_valid(
@@ -129,7 +131,7 @@
 fn grants_before_a_restart_count_until_they_must_have_expired() {
     let settings = GrantSettings::default();
     let grants = Grants::after_restart(&settings, ms(1_000));
-    assert_eq!(grants.latest_expiry(), ms(5_690));
+    assert_eq!(grants.latest_expiry(), ms(5_990));
     let reply = ReleaseReply::Released { handover: None };
-    assert_eq!(grants.transferable_from(KeyRange::ALL, &reply), ms(5_690));
+    assert_eq!(grants.transferable_from(KeyRange::ALL, &reply), ms(5_990));
 }
