An odd section of the map holds up no other

One section row that could not be read made a scan of the service fail: no node acquired a lease, and nothing of a lost node was taken over, for all sections. The other rows are used now. From an unreadable section nothing is assigned, and a node acquires no lease while the last good state of one says that its own upstream owns keys in it, since they may have been given to another.

--- a/crates/ranges/src/controller.rs
+++ b/crates/ranges/src/controller.rs
@@ -30,6 +30,7 @@
     UpstreamIncarnation,
 };
 use moving::PendingTransfer;
+use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -144,6 +145,8 @@
     era: Option<SeenEra>,
     /// What an earlier process of this node claimed beside the same incarnation.
     inherited_claims: Option<InheritedClaims>,
+    /// Sections whose rows exist and could not be read at the last attempt.
+    unreadable: BTreeSet<SectionIndex>,
 }
 
 impl<T: Table, G: Grantee, C: Clock + BootClock> RangeController<T, G, C> {
@@ -170,6 +173,7 @@
                     is_map_doubted: false,
                     era: None,
                     inherited_claims: None,
+                    unreadable: BTreeSet::new(),
                 }),
                 state_changed: Event::new(),
                 map_update: smol::lock::Mutex::new(()),
@@ -397,7 +401,7 @@
         let era = self.known_era().await?;
         let rows = self.scan_in(era).await?;
         let service = &self.inner.deps.service;
-        let snapshot = match Snapshot::parse(service, era, &rows) {
+        let snapshot = match Snapshot::parse_readable(service, era, &rows) {
             Ok(snapshot) => snapshot,
             Err(err) => {
                 log::error!(
@@ -411,6 +415,7 @@
         for (node, version) in &snapshot.leases {
             state.lease_observations.observe(node, *version, now);
         }
+        state.unreadable = snapshot.unreadable.iter().map(|(_, it)| *it).collect();
         drop(state);
         for (version, section) in &snapshot.sections {
             self.accept_section(*version, Arc::clone(section));
@@ -426,8 +431,14 @@
             return Ok(());
         };
         match rows::parse_section(&key, section, &row) {
-            Ok(parsed) => self.accept_section(row.version, Arc::new(parsed)),
-            Err(err) => log::error!("a section of the range map is ignored: {err}"),
+            Ok(parsed) => {
+                self.state().unreadable.remove(&section);
+                self.accept_section(row.version, Arc::new(parsed));
+            }
+            Err(err) => {
+                self.state().unreadable.insert(section);
+                log::error!("a section of the range map is ignored: {err}");
+            }
         }
         Ok(())
     }
--- a/crates/ranges/src/controller/coordinate.rs
+++ b/crates/ranges/src/controller/coordinate.rs
@@ -7,7 +7,7 @@
 use super::{RangeController, TransferReason, changed_sections, log_unanswered_change};
 use crate::balance::assign_ranges;
 use crate::grants::Grantee;
-use crate::map::{Assignment, KeyRange, Owner, RangeMap, Transfer};
+use crate::map::{Assignment, KeyRange, Owner, RangeMap, Transfer, section_of};
 use crate::rows;
 use ibiscove_mesh::Member;
 use ibiscove_store::era::{Era, era_of};
@@ -73,6 +73,10 @@
         let era = self.known_era().await?;
         // Claims are read after this, so that none that counts is missed.
         let may_assign_unclaimed = self.may_assign_unclaimed();
+        if !self.state().unreadable.is_empty() {
+            self.wait_before_retry().await;
+            self.read_rows().await?;
+        }
         let mut map = self.current_map_or_unowned().in_era(era);
         if map.assignments().any(Assignment::is_unassigned) {
             let may_wait = !may_assign_unclaimed;
@@ -82,8 +86,11 @@
             map = self.current_map_or_unowned().in_era(era);
         }
         let unresponsive = self.unresponsive_owners(&map);
-        let is_free =
-            |a: &Assignment| a.owner.is_none() && (may_assign_unclaimed || !a.is_unassigned());
+        let unreadable = self.state().unreadable.clone();
+        let is_readable = |a: &Assignment| !unreadable.contains(&section_of(a.range.first));
+        let is_free = |a: &Assignment| {
+            is_readable(a) && a.owner.is_none() && (may_assign_unclaimed || !a.is_unassigned())
+        };
         let has_unowned = map.assignments().any(is_free);
         if unresponsive.is_empty() && !has_unowned {
             return Ok(());
@@ -122,7 +129,7 @@
         }
         let owners = self.eligible_owners();
         let nodes: BTreeSet<&NodeName> = expired.iter().map(|(node, _)| node).collect();
-        let Some(transfers) = plan_takeover(&map, is_free, &nodes, &owners) else {
+        let Some(transfers) = plan_takeover(&map, is_free, is_readable, &nodes, &owners) else {
             return Ok(());
         };
         // Invariant 5: the leases end and their ranges move in one transaction.
@@ -155,7 +162,9 @@
         let snapshot = self.read_rows().await?;
         let map = self.current_map_or_unowned().in_era(era);
         let next = map.with_claims(&snapshot.claims);
-        let changed = changed_sections(&map, &next);
+        let mut changed = changed_sections(&map, &next);
+        let unreadable = self.state().unreadable.clone();
+        changed.retain(|changed| !unreadable.contains(&changed.section.index()));
         if changed.is_empty() {
             return Ok(true);
         }
@@ -253,11 +262,14 @@
 fn plan_takeover(
     map: &RangeMap,
     is_free: impl Fn(&Assignment) -> bool,
+    is_readable: impl Fn(&Assignment) -> bool,
     expired: &BTreeSet<&NodeName>,
     owners: &[Owner],
 ) -> Option<Vec<Transfer>> {
     let is_expired = |a: &Assignment| a.owner.as_ref().is_some_and(|o| expired.contains(&o.node));
-    let available = map.assignments().filter(|a| is_free(a) || is_expired(a));
+    let available = map
+        .assignments()
+        .filter(|a| is_free(a) || (is_readable(a) && is_expired(a)));
     let ranges: Vec<KeyRange> = available.map(|a| a.range).collect();
     let divided = assign_ranges(map, &ranges, owners);
     if divided.is_empty() {
--- a/crates/ranges/src/controller/leasing.rs
+++ b/crates/ranges/src/controller/leasing.rs
@@ -4,7 +4,7 @@
 use super::{RETRY_DELAY, RangeController};
 use crate::grants::Grantee;
 use crate::lease::Lease;
-use crate::map::{Claim, Owner};
+use crate::map::{Claim, Owner, section_of};
 use crate::rows::{self, LeaseRow, Snapshot};
 use futures_lite::FutureExt;
 use ibiscove_store::era::{Era, era_of};
@@ -48,16 +48,16 @@
         let is_acquired = lease.end(&self.inner.deps.settings.lease).is_none();
         let era = self.known_era().await?;
         let known_version = lease.version.filter(|version| era_of(*version) == era);
-        let version = match known_version {
-            Some(version) => Some(version),
-            None => {
-                let snapshot = self.read_rows().await?;
-                if is_acquired {
-                    self.inherit_claims(era, incarnation, &snapshot);
-                }
-                snapshot.lease_version_of(&self.inner.deps.node)
+        let must_read = is_acquired || known_version.is_none();
+        let mut version = known_version;
+        if must_read {
+            let snapshot = self.read_rows().await?;
+            self.check_own_sections(incarnation)?;
+            if is_acquired {
+                self.inherit_claims(era, incarnation, &snapshot);
             }
-        };
+            version = version.or(snapshot.lease_version_of(&self.inner.deps.node));
+        }
         let sent = self.inner.deps.clock.since_boot();
         let (claims, valid_until) = self.claims_under_lease(era, sent);
         let key = rows::lease_key(&self.inner.deps.service, era, &self.inner.deps.node);
@@ -75,10 +75,11 @@
         match self.commit_in(era, txn).await {
             Ok(Commit::Done(versions)) => {
                 let version = versions.first().copied().unwrap_or_default();
-                if is_acquired || known_version.is_none() {
+                if must_read {
                     // Invariant 5: a takeover is conditional on the lease row, so
                     // none is possible between this read and the first grant.
                     self.read_rows().await?;
+                    self.check_own_sections(incarnation)?;
                 }
                 self.drop_lapsed_claims(era, valid_until);
                 self.record_renewal(incarnation, version, sent);
@@ -97,6 +98,24 @@
         }
     }
 
+    /// Returns an error if the last good state of a section that cannot be read assigns
+    /// keys to the local upstream: they may have been assigned to another one since.
+    fn check_own_sections(&self, life: &UpstreamIncarnation) -> Result<(), TableError> {
+        let owner = Owner {
+            node: NodeName::clone(&self.inner.deps.node),
+            life: life.clone(),
+        };
+        let map = self.current_map_or_unowned();
+        let state = self.state();
+        let mut owned = map.owned_by(&owner).map(|a| section_of(a.range.first));
+        match owned.find(|section| state.unreadable.contains(section)) {
+            None => Ok(()),
+            Some(section) => Err(TableError::Unavailable(format!(
+                "who owns the keys of section {section} cannot be read"
+            ))),
+        }
+    }
+
     fn is_of_earlier_era(&self, lease: &Lease) -> bool {
         let era = self.observe_era();
         lease
--- a/crates/ranges/tests/explorer/regressions.rs
+++ b/crates/ranges/tests/explorer/regressions.rs
@@ -7,6 +7,7 @@
 use crate::upstreams::GrantFaults;
 use ibiscove_ranges::grants::GrantSettings;
 use ibiscove_ranges::lease::LeaseSettings;
+use ibiscove_ranges::map::section_span;
 use ibiscove_ranges::{ControllerSettings, GrantDelivery};
 use std::sync::Arc;
 use std::time::Duration;
@@ -143,6 +144,68 @@
     }
 }
 
+/// An odd section in the table kept every node from acquiring a lease, and nothing of a
+/// lost one was taken over.
+#[test]
+fn an_odd_section_holds_up_no_other() {
+    for seed in 0..10 {
+        let cluster = cluster(seed);
+        cluster.table.put("ranges/deposits/map-03", b"[[[");
+        cluster.kill(0);
+        cluster.upstreams.stop(0);
+        cluster.sim.run_until(secs(40));
+        let section = section_span(3);
+        let unheld = cluster.upstreams.unheld_keys();
+        let others: Vec<_> = unheld
+            .iter()
+            .filter(|key| !section.contains(**key))
+            .collect();
+        assert!(
+            others.is_empty(),
+            "seed {seed}: no upstream holds {others:?}"
+        );
+        assert!(
+            cluster.upstreams.violations().is_empty(),
+            "{:?}",
+            cluster.upstreams.violations()
+        );
+        cluster.finish();
+    }
+}
+
+/// A node that lost its lease, and with it its keys, must not grant them again because
+/// the section that says so was replaced by an odd one.
+#[test]
+fn a_node_grants_nothing_that_the_lost_state_of_an_odd_section_gave_to_another() {
+    for seed in 0..10 {
+        let cluster = cluster(seed);
+        suspend_beside_odd_sections(&cluster);
+        assert!(
+            cluster.upstreams.violations().is_empty(),
+            "{:?}",
+            cluster.upstreams.violations()
+        );
+        cluster.finish();
+    }
+}
+
+/// Suspends a node for long enough to lose its keys, and replaces all sections by odd
+/// ones before it reads the table again. It hears of the others only later.
+fn suspend_beside_odd_sections(cluster: &Arc<Cluster>) {
+    cluster.set_partitioned(0, true);
+    cluster.table.inject(0, TableFaults::UNAVAILABLE);
+    cluster.sim.suspend(cluster.sim_index(0), secs(20));
+    cluster.schedule(secs(30), |cluster| {
+        for section in 0..16 {
+            let key = format!("ranges/deposits/map-{section:02}");
+            cluster.table.put(&key, b"[[[");
+        }
+        cluster.table.inject(0, TableFaults::default());
+    });
+    cluster.schedule(secs(40), |cluster| cluster.set_partitioned(0, false));
+    cluster.sim.run_until(secs(50));
+}
+
 fn violates_exclusivity_within(schedules: u64, settings: ControllerSettings) -> bool {
     (0..schedules).any(|seed| {
         let violations = run_schedule(seed, settings);
--- a/crates/ranges/tests/explorer/table.rs
+++ b/crates/ranges/tests/explorer/table.rs
@@ -4,7 +4,7 @@
 use ibiscove_sim::{ENVIRONMENT, NodeIndex, Sim};
 use ibiscove_store::era::{Era, EraTracker, conflict_across_eras, number_of, version_in};
 use ibiscove_store::{
-    Commit, Condition, MemoryPlatform, PlatformCopy, RawRow, Table, TableError, Transaction,
+    Commit, Condition, MemoryPlatform, PlatformCopy, RawRow, Table, TableError, Transaction, Write,
 };
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -94,6 +94,19 @@
         }
     }
 
+    /// Writes a row as another writer may.
+    pub fn put(&self, key: &str, body: &[u8]) {
+        let write = Write {
+            key: key.to_owned(),
+            body: Some(body.into()),
+        };
+        let txn = Transaction {
+            conditions: Vec::new(),
+            writes: vec![write],
+        };
+        self.content.commit(&txn, self.sim.now());
+    }
+
     pub fn inject(&self, node: NodeIndex, faults: TableFaults) {
         self.faults.lock().expect("no holder panics")[node] = faults;
     }
