One parser of a service's rows

The strict one has no caller left. Its last use was a test's assertion that it fails for odd sections; the test goes on demanding that each is listed as unreadable.

--- a/crates/ranges/src/controller.rs
+++ b/crates/ranges/src/controller.rs
@@ -401,7 +401,7 @@
         let era = self.known_era().await?;
         let rows = self.scan_in(era).await?;
         let service = &self.inner.deps.service;
-        let snapshot = match Snapshot::parse_readable(service, era, &rows) {
+        let snapshot = match Snapshot::parse(service, era, &rows) {
             Ok(snapshot) => snapshot,
             Err(err) => {
                 log::error!(
--- a/crates/ranges/src/rows.rs
+++ b/crates/ranges/src/rows.rs
@@ -115,38 +115,12 @@
 }
 
 impl Snapshot {
-    /// Parses the rows of a scan, of which all sections must be readable. Rows with an
-    /// unknown key are counted and ignored.
+    /// Parses the rows of a scan. Rows with an unknown key are counted and ignored.
+    /// Sections that cannot be read are counted, logged and listed as such. The known
+    /// state of one says who owned its keys, and not who owns them now: no key of it may
+    /// be assigned, nor granted under a lease that was acquired since.
     pub fn parse(service: &str, era: Era, rows: &[(String, RawRow)]) -> Result<Self, RowError> {
-        let (snapshot, errors) = Self::parse_each(service, era, rows)?;
-        errors.into_iter().next().map_or(Ok(snapshot), Err)
-    }
-
-    /// Parses the rows of a scan. Sections that cannot be read are counted, logged and
-    /// listed as such. The known state of one says who owned its keys, and not who owns
-    /// them now: no key of it may be assigned, nor granted under a lease that was
-    /// acquired since.
-    pub fn parse_readable(
-        service: &str,
-        era: Era,
-        rows: &[(String, RawRow)],
-    ) -> Result<Self, RowError> {
-        let (snapshot, errors) = Self::parse_each(service, era, rows)?;
-        for err in errors {
-            metrics::counter!("ibiscove_rows_malformed_total").increment(1);
-            log::error!("a section of the range map of {service} cannot be read: {err}");
-        }
-        Ok(snapshot)
-    }
-
-    /// Parses the rows of a scan; also returns why sections are unreadable.
-    fn parse_each(
-        service: &str,
-        era: Era,
-        rows: &[(String, RawRow)],
-    ) -> Result<(Self, Vec<RowError>), RowError> {
         let mut snapshot = Self::default();
-        let mut errors = Vec::new();
         let earlier_key = format!("{}map", prefix(service, era));
         let lease_prefix = lease_key(service, era, "");
         for (key, row) in rows {
@@ -154,8 +128,9 @@
                 match parse_section(key, section, row) {
                     Ok(parsed) => snapshot.sections.push((row.version, Arc::new(parsed))),
                     Err(err) => {
+                        metrics::counter!("ibiscove_rows_malformed_total").increment(1);
+                        log::error!("a section of the map of {service} cannot be read: {err}");
                         snapshot.unreadable.push((row.version, section));
-                        errors.push(err);
                     }
                 }
             } else if let Some(node) = key.strip_prefix(&lease_prefix) {
@@ -168,7 +143,7 @@
                 log::warn!("row {key} is ignored: its key is neither a map nor a lease key");
             }
         }
-        Ok((snapshot, errors))
+        Ok(snapshot)
     }
 
     /// Returns the version of a node's lease row, if it exists.
--- a/crates/ranges/tests/odd_rows.rs
+++ b/crates/ranges/tests/odd_rows.rs
@@ -181,7 +181,7 @@
 /// One odd section hid all other rows of the service, the leases among them.
 #[test]
 fn an_odd_section_hides_no_other_row() {
-    let snapshot = Snapshot::parse_readable(SERVICE, 0, &odd_rows());
+    let snapshot = Snapshot::parse(SERVICE, 0, &odd_rows());
     let snapshot = snapshot.expect("the others hold");
     let sections: Vec<_> = snapshot
         .sections
@@ -196,10 +196,9 @@
 /// An odd section taken for an absent one would count as never assigned.
 #[test]
 fn an_odd_section_is_not_absent() {
-    let snapshot = Snapshot::parse_readable(SERVICE, 0, &odd_rows());
+    let snapshot = Snapshot::parse(SERVICE, 0, &odd_rows());
     let snapshot = snapshot.expect("the others hold");
     assert_eq!(snapshot.unreadable, [(2, 1), (3, 2), (4, 3)]);
-    assert!(Snapshot::parse(SERVICE, 0, &odd_rows()).is_err());
 }
 
 /// The rows of an earlier format are not left aside with a log line.
@@ -207,7 +206,7 @@
 fn a_row_of_an_earlier_format_is_an_error() {
     let mut rows = odd_rows();
     rows.push(("ranges/deposits/map".to_owned(), row(9, "{}")));
-    let err = Snapshot::parse_readable(SERVICE, 0, &rows).expect_err("it is refused");
+    let err = Snapshot::parse(SERVICE, 0, &rows).expect_err("it is refused");
     assert!(err.to_string().contains("stop all nodes"), "{err}");
 }
 
