review: a withdrawn endpoint is used again after a restart

An endpoint withdraws by DELETE, all node processes are killed once and restarted, and a heartbeat from before the DELETE arrives 3 s late: the new process takes the endpoint for ready.

--- /dev/null
+++ b/review/lab/endpoint.rs
@@ -0,0 +1,223 @@
+//! An application endpoint of a service whose keys are not divided.
+
+use crate::http::{self, Buffer, Message};
+use crate::record::Record;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Requests that an endpoint runs at a time, and those that it queues.
+pub const SLOTS: usize = 12;
+const QUEUE: usize = 48;
+const HEARTBEAT: Duration = Duration::from_millis(870);
+
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub id: String,
+    pub endpoint: String,
+    pub began: f64,
+}
+
+/// What all endpoints have run.
+pub type Runs = Arc<Mutex<Vec<Run>>>;
+
+pub struct Endpoint {
+    pub id: String,
+    pub service: String,
+    pub addr: SocketAddr,
+    pub control: SocketAddr,
+    pub zone: String,
+    born_ms: u128,
+    record: Record,
+    runs: Runs,
+    sequence: AtomicU64,
+    is_up: AtomicBool,
+    /// Whether heartbeats are sent.
+    is_announcing: AtomicBool,
+    slots: (Mutex<usize>, Condvar),
+    waiting: AtomicUsize,
+    connections: Mutex<Vec<TcpStream>>,
+}
+
+impl Endpoint {
+    pub fn start(
+        id: &str,
+        service: &str,
+        zone: &str,
+        addr: SocketAddr,
+        control: SocketAddr,
+        record: &Record,
+        runs: &Runs,
+    ) -> std::io::Result<Arc<Self>> {
+        let endpoint = Arc::new(Self {
+            id: id.to_owned(),
+            service: service.to_owned(),
+            addr,
+            control,
+            zone: zone.to_owned(),
+            born_ms: SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis(),
+            record: record.clone(),
+            runs: Arc::clone(runs),
+            sequence: AtomicU64::new(0),
+            is_up: AtomicBool::new(true),
+            is_announcing: AtomicBool::new(true),
+            slots: (Mutex::new(SLOTS), Condvar::new()),
+            waiting: AtomicUsize::new(0),
+            connections: Mutex::default(),
+        });
+        let listener = TcpListener::bind(addr)?;
+        let serving = Arc::clone(&endpoint);
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                if !serving.is_up() {
+                    return;
+                }
+                if let Ok(kept) = stream.try_clone() {
+                    serving.connections.lock().unwrap().push(kept);
+                }
+                let endpoint = Arc::clone(&serving);
+                std::thread::spawn(move || endpoint.serve(stream));
+            }
+        });
+        let announcing = Arc::clone(&endpoint);
+        std::thread::spawn(move || {
+            while announcing.is_up() {
+                if announcing.is_announcing.load(Ordering::Acquire) {
+                    let beat = announcing.heartbeat();
+                    announcing.send_heartbeat(&beat);
+                }
+                std::thread::sleep(HEARTBEAT);
+            }
+        });
+        Ok(endpoint)
+    }
+
+    pub fn is_up(&self) -> bool {
+        self.is_up.load(Ordering::Acquire)
+    }
+
+    /// Stops the heartbeats; a heartbeat that was made before may still be sent.
+    pub fn stop_announcing(&self) {
+        self.is_announcing.store(false, Ordering::Release);
+    }
+
+    /// Returns the body of the next heartbeat.
+    pub fn heartbeat(&self) -> String {
+        let sequence = self.sequence.fetch_add(1, Ordering::AcqRel) + 1;
+        format!(
+            "{{\"address\":\"{}\",\"born\":{},\"info\":{{\"service\":\"{}\",\"version\":\"v1\",\
+             \"zone\":\"{}\",\"slots\":{SLOTS}}},\"status\":{{\"state\":\"ready\",\"seq\":{sequence},\
+             \"cold-left-s\":0}}}}",
+            self.addr, self.born_ms, self.service, self.zone
+        )
+    }
+
+    /// Sends a heartbeat; returns the status of its answer, 0 without one.
+    pub fn send_heartbeat(&self, body: &str) -> u16 {
+        self.control_call("PUT", body)
+    }
+
+    /// Withdraws the endpoint from service.
+    pub fn leave(&self) -> u16 {
+        self.control_call("DELETE", "")
+    }
+
+    fn control_call(&self, method: &str, body: &str) -> u16 {
+        let call = || -> std::io::Result<u16> {
+            let timeout = Duration::from_secs(1);
+            let mut stream = TcpStream::connect_timeout(&self.control, timeout)?;
+            stream.set_read_timeout(Some(timeout))?;
+            let line = format!("{method} /instances/{} HTTP/1.1", self.id);
+            let host = self.control.to_string();
+            let headers = [("Host", host.as_str()), ("Content-Type", "application/json")];
+            http::write(&mut stream, &line, &headers, body.as_bytes())?;
+            let answer = Buffer::default().read(&mut stream)?;
+            Ok(answer.map_or(0, |answer| answer.status()))
+        };
+        call().unwrap_or(0)
+    }
+
+    /// Ends the endpoint's process: its address refuses connections, open ones end.
+    pub fn end(&self) {
+        self.is_up.store(false, Ordering::Release);
+        for stream in self.connections.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        // Wakes the thread that accepts, which closes the listener.
+        let _ = TcpStream::connect_timeout(&self.addr, Duration::from_millis(200));
+    }
+
+    fn serve(&self, mut stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let mut buffer = Buffer::default();
+        while let Ok(Some(req)) = buffer.read(&mut stream) {
+            if !self.is_up() || self.respond(&mut stream, &req).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn respond(&self, stream: &mut TcpStream, req: &Message) -> std::io::Result<()> {
+        if req.target() == "/healthz" {
+            let headers = [("Ibiscove-Instance-Id", self.id.as_str())];
+            return http::write(stream, "HTTP/1.1 200 OK", &headers, b"");
+        }
+        let request_id = req.header("ibiscove-request-id").unwrap_or_default().to_owned();
+        let echo = ("Ibiscove-Request-Id", request_id.as_str());
+        if request_id.is_empty() {
+            let headers = [("Ibiscove-Not-Executed", "1")];
+            return http::write(stream, "HTTP/1.1 400 Bad Request", &headers, b"");
+        }
+        let expected = req.header("ibiscove-expect-instance");
+        if expected.is_some_and(|id| id != self.id) {
+            let headers = [echo, ("Ibiscove-Instance-Id", self.id.as_str())];
+            return http::write(stream, "HTTP/1.1 421 Misdirected Request", &headers, b"");
+        }
+        let deadline_ms = req.header("ibiscove-deadline-ms").and_then(|text| text.parse().ok());
+        let deadline = Instant::now() + Duration::from_millis(deadline_ms.unwrap_or(10_000));
+        if !self.take_slot(deadline) {
+            let headers = [echo, ("Ibiscove-Not-Executed", "1")];
+            return http::write(stream, "HTTP/1.1 503 Service Unavailable", &headers, b"");
+        }
+        let began = self.record.now();
+        self.runs.lock().unwrap().push(Run {
+            id: request_id.clone(),
+            endpoint: self.id.clone(),
+            began,
+        });
+        self.record.line(format!("endpoint {} runs {request_id}", self.id));
+        let number = |name: &str| req.query(name).and_then(|text| text.parse::<u64>().ok());
+        let work = Duration::from_millis(number("work").unwrap_or(20));
+        let left = deadline.saturating_duration_since(Instant::now());
+        std::thread::sleep(work.min(left));
+        *self.slots.0.lock().unwrap() += 1;
+        self.slots.1.notify_one();
+        if work > left {
+            return http::write(stream, "HTTP/1.1 504 Gateway Timeout", &[echo], b"");
+        }
+        let body = vec![b'x'; number("size").unwrap_or(1_500) as usize];
+        let seal = format!("{request_id}.{}", body.len());
+        let headers = [echo, ("Ibiscove-Response-Seal", seal.as_str())];
+        http::write(stream, "HTTP/1.1 200 OK", &headers, &body)
+    }
+
+    fn take_slot(&self, deadline: Instant) -> bool {
+        let mut free = self.slots.0.lock().unwrap();
+        if *free == 0 && self.waiting.load(Ordering::Acquire) >= QUEUE {
+            return false;
+        }
+        self.waiting.fetch_add(1, Ordering::AcqRel);
+        while *free == 0 {
+            let left = deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                self.waiting.fetch_sub(1, Ordering::AcqRel);
+                return false;
+            }
+            free = self.slots.1.wait_timeout(free, left).unwrap().0;
+        }
+        self.waiting.fetch_sub(1, Ordering::AcqRel);
+        *free -= 1;
+        true
+    }
+}
