review: a late copy of a grant's answer counts as the answer to a release

A draining endpoint sends the answer to its last grant a second time, where the answer to a release is expected. The node gives the keys to another endpoint while the first one is at work on them.

--- a/review/lab/client.rs
+++ b/review/lab/client.rs
@@ -37,13 +37,23 @@
     pub target: String,
     pub deadline: Duration,
     pub body: Vec<u8>,
+    pub key: Option<u32>,
 }
 
 impl Connection {
     /// Sends a request on the kept connection, or on a new one if there is none or the
     /// node has closed it.
-    pub fn send(&mut self, addr: SocketAddr, call: &Call, record: &Record) -> (Outcome, Option<Message>) {
-        if self.stream.as_ref().is_some_and(|(stream, _)| is_closed(stream)) {
+    pub fn send(
+        &mut self,
+        addr: SocketAddr,
+        call: &Call,
+        record: &Record,
+    ) -> (Outcome, Option<Message>) {
+        if self
+            .stream
+            .as_ref()
+            .is_some_and(|(stream, _)| is_closed(stream))
+        {
             self.stream = None;
         }
         let (mut stream, mut buffer) = match self.stream.take() {
@@ -58,11 +68,13 @@
         let _ = stream.set_read_timeout(Some(call.deadline + Duration::from_millis(300)));
         let line = format!("{} {} HTTP/1.1", call.method, call.target);
         let deadline = call.deadline.as_millis().to_string();
-        let headers = [
+        let key = call.key.map(|key| key.to_string());
+        let mut headers = vec![
             ("Host", call.host),
             ("Ibiscove-Request-Id", call.id.as_str()),
             ("Ibiscove-Deadline-Ms", deadline.as_str()),
         ];
+        headers.extend(key.as_deref().map(|key| ("Ibiscove-Shard-Key", key)));
         record.line(format!("client sends {} {}", call.id, call.target));
         if http::write(&mut stream, &line, &headers, &call.body).is_err() {
             return (Outcome::Closed, None);
@@ -104,7 +116,10 @@
     /// Checks a node once a second.
     pub fn watch(&self, name: &str, zone: &str, addr: SocketAddr, record: &Record) {
         let (name, zone) = (name.to_owned(), zone.to_owned());
-        self.nodes.lock().unwrap().insert(name.clone(), (zone.clone(), 2));
+        self.nodes
+            .lock()
+            .unwrap()
+            .insert(name.clone(), (zone.clone(), 2));
         let (nodes, record) = (Arc::clone(&self.nodes), record.clone());
         std::thread::spawn(move || {
             loop {
@@ -113,7 +128,10 @@
                 let misses = nodes.get(&name).map_or(2, |(_, misses)| *misses);
                 let next = if is_ready { 0 } else { misses + 1 };
                 if (misses < 2) != (next < 2) {
-                    record.line(format!("readiness: {name} is {}", if next < 2 { "in" } else { "out" }));
+                    record.line(format!(
+                        "readiness: {name} is {}",
+                        if next < 2 { "in" } else { "out" }
+                    ));
                 }
                 nodes.insert(name.clone(), (zone.clone(), next));
                 drop(nodes);
@@ -145,7 +163,12 @@
         let mut stream = TcpStream::connect_timeout(&addr, timeout)?;
         stream.set_read_timeout(Some(timeout))?;
         let host = addr.to_string();
-        http::write(&mut stream, "GET /readyz HTTP/1.1", &[("Host", host.as_str())], b"")?;
+        http::write(
+            &mut stream,
+            "GET /readyz HTTP/1.1",
+            &[("Host", host.as_str())],
+            b"",
+        )?;
         let answer = Buffer::default().read(&mut stream)?;
         Ok(answer.map_or(0, |answer| answer.status()))
     };
--- a/review/lab/cluster.rs
+++ b/review/lab/cluster.rs
@@ -145,16 +145,28 @@
 /// Finds a block of loopback addresses on which all ports of the deployment are free.
 fn free_block(seed: u32, nodes: usize) -> std::io::Result<(u8, u8)> {
     let ports = [
-        METRICS_PORT, PEER_PORT, APP_PORT, READY_PORT, INBOUND_PORT, OUTBOUND_PORT, CONTROL_PORT, STORE_PORT, INNER_STORE_PORT,
+        METRICS_PORT,
+        PEER_PORT,
+        APP_PORT,
+        READY_PORT,
+        INBOUND_PORT,
+        OUTBOUND_PORT,
+        CONTROL_PORT,
+        STORE_PORT,
+        INNER_STORE_PORT,
     ];
     for attempt in 0..50 {
-        let number = seed.wrapping_mul(2_654_435_761).wrapping_add(attempt * 40_503);
+        let number = seed
+            .wrapping_mul(2_654_435_761)
+            .wrapping_add(attempt * 40_503);
         let block = (20 + (number >> 8 & 127) as u8, (number >> 16 & 255) as u8);
         let hosts = std::iter::once(2).chain((0..nodes).map(|index| 10 + index as u8));
-        let is_free = hosts.flat_map(|host| ports.map(|port| (host, port))).all(|(host, port)| {
-            let ip = Ipv4Addr::new(127, block.0, block.1, host);
-            TcpListener::bind((ip, port)).is_ok()
-        });
+        let is_free = hosts
+            .flat_map(|host| ports.map(|port| (host, port)))
+            .all(|(host, port)| {
+                let ip = Ipv4Addr::new(127, block.0, block.1, host);
+                TcpListener::bind((ip, port)).is_ok()
+            });
         if is_free {
             return Ok(block);
         }
@@ -163,7 +175,10 @@
 }
 
 fn settings(node: &Node, zones: &[&str], store: SocketAddr) -> String {
-    let zone_lines: String = zones.iter().map(|zone| format!("zones.{zone}=dakar\n")).collect();
+    let zone_lines: String = zones
+        .iter()
+        .map(|zone| format!("zones.{zone}=dakar\n"))
+        .collect();
     let inbound = node.addr(INBOUND_PORT);
     format!(
         "node={name}\nrole=router\nmachine-class=sidecar\nserves=sidecar\nip={ip}\nzone={zone}\n\
--- a/review/lab/endpoint.rs
+++ b/review/lab/endpoint.rs
@@ -1,6 +1,8 @@
-//! An application endpoint of a service whose keys are not divided.
+//! An application endpoint.
 
 use crate::http::{self, Buffer, Message};
+use crate::json::Json;
+use crate::keyed::{Grant, Keys, SharedLedger, Work};
 use crate::record::Record;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -38,6 +40,19 @@
     slots: (Mutex<usize>, Condvar),
     waiting: AtomicUsize,
     connections: Mutex<Vec<TcpStream>>,
+    keys: Keys,
+    ledger: SharedLedger,
+    is_draining: AtomicBool,
+    /// Second answers that are still to be sent, late.
+    late_copies: AtomicUsize,
+}
+
+/// Returns the id of a request as a header of its answer, if it has one.
+fn echo_of(req: &Message) -> Vec<(&str, &str)> {
+    let id = req.header("ibiscove-request-id");
+    id.map(|id| ("Ibiscove-Request-Id", id))
+        .into_iter()
+        .collect()
 }
 
 impl Endpoint {
@@ -49,6 +64,7 @@
         control: SocketAddr,
         record: &Record,
         runs: &Runs,
+        ledger: &SharedLedger,
     ) -> std::io::Result<Arc<Self>> {
         let endpoint = Arc::new(Self {
             id: id.to_owned(),
@@ -56,7 +72,10 @@
             addr,
             control,
             zone: zone.to_owned(),
-            born_ms: SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis(),
+            born_ms: SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .unwrap()
+                .as_millis(),
             record: record.clone(),
             runs: Arc::clone(runs),
             sequence: AtomicU64::new(0),
@@ -65,6 +84,10 @@
             slots: (Mutex::new(SLOTS), Condvar::new()),
             waiting: AtomicUsize::new(0),
             connections: Mutex::default(),
+            keys: Keys::default(),
+            ledger: Arc::clone(ledger),
+            is_draining: AtomicBool::new(false),
+            late_copies: AtomicUsize::new(0),
         });
         let listener = TcpListener::bind(addr)?;
         let serving = Arc::clone(&endpoint);
@@ -105,9 +128,14 @@
     /// Returns the body of the next heartbeat.
     pub fn heartbeat(&self) -> String {
         let sequence = self.sequence.fetch_add(1, Ordering::AcqRel) + 1;
+        let state = if self.is_draining.load(Ordering::Acquire) {
+            "draining"
+        } else {
+            "ready"
+        };
         format!(
             "{{\"address\":\"{}\",\"born\":{},\"info\":{{\"service\":\"{}\",\"version\":\"v1\",\
-             \"zone\":\"{}\",\"slots\":{SLOTS}}},\"status\":{{\"state\":\"ready\",\"seq\":{sequence},\
+             \"zone\":\"{}\",\"slots\":{SLOTS}}},\"status\":{{\"state\":\"{state}\",\"seq\":{sequence},\
              \"cold-left-s\":0}}}}",
             self.addr, self.born_ms, self.service, self.zone
         )
@@ -118,6 +146,19 @@
         self.control_call("PUT", body)
     }
 
+    /// Reports that the endpoint drains; returns the status of the answer.
+    pub fn drain(&self) -> u16 {
+        self.is_draining.store(true, Ordering::Release);
+        let beat = self.heartbeat();
+        self.send_heartbeat(&beat)
+    }
+
+    /// The answer to the next grant is sent twice: the copy comes late, when an answer to
+    /// the next call on that connection is expected and that call is a release.
+    pub fn copy_answer_late(&self, count: usize) {
+        self.late_copies.store(count, Ordering::Release);
+    }
+
     /// Withdraws the endpoint from service.
     pub fn leave(&self) -> u16 {
         self.control_call("DELETE", "")
@@ -130,7 +171,10 @@
             stream.set_read_timeout(Some(timeout))?;
             let line = format!("{method} /instances/{} HTTP/1.1", self.id);
             let host = self.control.to_string();
-            let headers = [("Host", host.as_str()), ("Content-Type", "application/json")];
+            let headers = [
+                ("Host", host.as_str()),
+                ("Content-Type", "application/json"),
+            ];
             http::write(&mut stream, &line, &headers, body.as_bytes())?;
             let answer = Buffer::default().read(&mut stream)?;
             Ok(answer.map_or(0, |answer| answer.status()))
@@ -151,11 +195,112 @@
     fn serve(&self, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut buffer = Buffer::default();
+        // The grant that was answered last on this connection, if nothing else was since.
+        let mut granted = None;
         while let Ok(Some(req)) = buffer.read(&mut stream) {
-            if !self.is_up() || self.respond(&mut stream, &req).is_err() {
+            if !self.is_up() {
+                return;
+            }
+            let path = req
+                .target()
+                .split('?')
+                .next()
+                .unwrap_or_default()
+                .to_owned();
+            let responded = match path.as_str() {
+                "/grant" => self.grant(&mut stream, &req),
+                "/release" => self.release(&mut stream, &req, granted.as_ref()),
+                _ => self.respond(&mut stream, &req),
+            };
+            if responded.is_err() {
                 return;
             }
+            granted = (path == "/grant").then_some(req);
+        }
+    }
+
+    fn grant(&self, stream: &mut TcpStream, req: &Message) -> std::io::Result<()> {
+        let echo = echo_of(req);
+        if req
+            .header("ibiscove-expect-instance")
+            .is_some_and(|id| id != self.id)
+        {
+            return http::write(stream, "HTTP/1.1 421 Misdirected Request", &echo, b"");
+        }
+        let Some(call) = Json::parse(&String::from_utf8_lossy(&req.body)) else {
+            return http::write(stream, "HTTP/1.1 400 Bad Request", &echo, b"");
+        };
+        let (first, last) = (call.number("from") as u32, call.number("target") as u32);
+        let (fence, hold) = (call.number("fence") as u64, call.number("hold-s"));
+        if !self
+            .keys
+            .grant(first, last, fence, Duration::from_secs_f64(hold))
+        {
+            return http::write(stream, "HTTP/1.1 409 Conflict", &echo, b"");
+        }
+        let taken = self.record.now();
+        self.ledger.lock().unwrap().grants.push(Grant {
+            endpoint: self.id.clone(),
+            first,
+            last,
+            fence,
+            taken,
+            until: taken + hold,
+        });
+        self.record.line(format!(
+            "endpoint {} is granted {first}-{last}, fence {fence}",
+            self.id
+        ));
+        http::write(stream, "HTTP/1.1 200 OK", &echo, b"")
+    }
+
+    fn release(
+        &self,
+        stream: &mut TcpStream,
+        req: &Message,
+        granted: Option<&Message>,
+    ) -> std::io::Result<()> {
+        let mut headers = echo_of(req);
+        let Some(call) = Json::parse(&String::from_utf8_lossy(&req.body)) else {
+            return http::write(stream, "HTTP/1.1 400 Bad Request", &headers, b"");
+        };
+        let (first, last) = (call.number("from") as u32, call.number("target") as u32);
+        self.record
+            .line(format!("endpoint {} is to release {first}-{last}", self.id));
+        let take_copy = || {
+            self.late_copies
+                .fetch_update(Ordering::AcqRel, Ordering::Acquire, |left| {
+                    left.checked_sub(1)
+                })
+        };
+        if let Some(grant) = granted
+            && take_copy().is_ok()
+        {
+            self.record.say(format!(
+                "endpoint {} sends a late copy of a grant's answer while {first}-{last} is being released",
+                self.id
+            ));
+            http::write(stream, "HTTP/1.1 200 OK", &echo_of(grant), b"")?;
         }
+        self.keys.release(first, last);
+        self.record
+            .line(format!("endpoint {} has released {first}-{last}", self.id));
+        let handover = format!("h{first}");
+        headers.push(("Ibiscove-Handover", &handover));
+        http::write(stream, "HTTP/1.1 200 OK", &headers, b"")
+    }
+
+    /// Begins work on the key of a request; returns until when the key is held. An error
+    /// is the answer to a request whose key is not held.
+    fn begin_keyed(&self, req: &Message) -> Result<Option<(u32, Instant)>, ()> {
+        let Some(key) = req
+            .header("ibiscove-shard-key")
+            .and_then(|text| text.parse().ok())
+        else {
+            return Ok(None);
+        };
+        let until = self.keys.begin(key).ok_or(())?;
+        Ok(Some((key, until)))
     }
 
     fn respond(&self, stream: &mut TcpStream, req: &Message) -> std::io::Result<()> {
@@ -163,7 +308,10 @@
             let headers = [("Ibiscove-Instance-Id", self.id.as_str())];
             return http::write(stream, "HTTP/1.1 200 OK", &headers, b"");
         }
-        let request_id = req.header("ibiscove-request-id").unwrap_or_default().to_owned();
+        let request_id = req
+            .header("ibiscove-request-id")
+            .unwrap_or_default()
+            .to_owned();
         let echo = ("Ibiscove-Request-Id", request_id.as_str());
         if request_id.is_empty() {
             let headers = [("Ibiscove-Not-Executed", "1")];
@@ -174,25 +322,47 @@
             let headers = [echo, ("Ibiscove-Instance-Id", self.id.as_str())];
             return http::write(stream, "HTTP/1.1 421 Misdirected Request", &headers, b"");
         }
-        let deadline_ms = req.header("ibiscove-deadline-ms").and_then(|text| text.parse().ok());
+        let deadline_ms = req
+            .header("ibiscove-deadline-ms")
+            .and_then(|text| text.parse().ok());
         let deadline = Instant::now() + Duration::from_millis(deadline_ms.unwrap_or(10_000));
         if !self.take_slot(deadline) {
             let headers = [echo, ("Ibiscove-Not-Executed", "1")];
             return http::write(stream, "HTTP/1.1 503 Service Unavailable", &headers, b"");
         }
+        let Ok(keyed) = self.begin_keyed(req) else {
+            self.free_slot();
+            let headers = [echo, ("Ibiscove-Not-Executed", "1")];
+            return http::write(stream, "HTTP/1.1 421 Misdirected Request", &headers, b"");
+        };
         let began = self.record.now();
         self.runs.lock().unwrap().push(Run {
             id: request_id.clone(),
             endpoint: self.id.clone(),
             began,
         });
-        self.record.line(format!("endpoint {} runs {request_id}", self.id));
+        self.record
+            .line(format!("endpoint {} runs {request_id}", self.id));
         let number = |name: &str| req.query(name).and_then(|text| text.parse::<u64>().ok());
         let work = Duration::from_millis(number("work").unwrap_or(20));
         let left = deadline.saturating_duration_since(Instant::now());
+        let index = keyed.map(|(key, _)| {
+            let mut ledger = self.ledger.lock().unwrap();
+            ledger.works.push(Work {
+                endpoint: self.id.clone(),
+                id: request_id.clone(),
+                key,
+                began,
+                ended: None,
+            });
+            ledger.works.len() - 1
+        });
         std::thread::sleep(work.min(left));
-        *self.slots.0.lock().unwrap() += 1;
-        self.slots.1.notify_one();
+        if let (Some((key, _)), Some(index)) = (keyed, index) {
+            self.ledger.lock().unwrap().works[index].ended = Some(self.record.now());
+            self.keys.end(key);
+        }
+        self.free_slot();
         if work > left {
             return http::write(stream, "HTTP/1.1 504 Gateway Timeout", &[echo], b"");
         }
@@ -202,6 +372,11 @@
         http::write(stream, "HTTP/1.1 200 OK", &headers, &body)
     }
 
+    fn free_slot(&self) {
+        *self.slots.0.lock().unwrap() += 1;
+        self.slots.1.notify_one();
+    }
+
     fn take_slot(&self, deadline: Instant) -> bool {
         let mut free = self.slots.0.lock().unwrap();
         if *free == 0 && self.waiting.load(Ordering::Acquire) >= QUEUE {
--- a/review/lab/http.rs
+++ b/review/lab/http.rs
@@ -19,7 +19,10 @@
 
 impl Message {
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(header, _)| header.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(header, _)| header.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
 
@@ -41,7 +44,8 @@
     }
 
     pub fn wants_close(&self) -> bool {
-        self.header("connection").is_some_and(|value| value.to_ascii_lowercase().contains("close"))
+        self.header("connection")
+            .is_some_and(|value| value.to_ascii_lowercase().contains("close"))
     }
 }
 
@@ -50,7 +54,9 @@
     let raw = text.as_bytes();
     let mut at = 0;
     while at < raw.len() {
-        let code = (raw[at] == b'%').then(|| text.get(at + 1..at + 3)).flatten();
+        let code = (raw[at] == b'%')
+            .then(|| text.get(at + 1..at + 3))
+            .flatten();
         match code.and_then(|code| u8::from_str_radix(code, 16).ok()) {
             Some(byte) => {
                 bytes.push(byte);
@@ -95,13 +101,19 @@
         };
         for line in lines {
             let (name, value) = line.split_once(':').ok_or(io::ErrorKind::InvalidData)?;
-            message.headers.push((name.trim().to_owned(), value.trim().to_owned()));
+            message
+                .headers
+                .push((name.trim().to_owned(), value.trim().to_owned()));
         }
-        let chunked = message.header("transfer-encoding").is_some_and(|value| value.contains("chunked"));
+        let chunked = message
+            .header("transfer-encoding")
+            .is_some_and(|value| value.contains("chunked"));
         if chunked {
             message.body = self.read_chunks(stream)?;
         } else if let Some(length) = message.header("content-length") {
-            let length = length.parse().map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?;
+            let length = length
+                .parse()
+                .map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?;
             message.body = self.take(stream, length)?;
         }
         Ok(Some(message))
@@ -143,7 +155,9 @@
 }
 
 fn find(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
-    bytes.windows(pattern.len()).position(|window| window == pattern)
+    bytes
+        .windows(pattern.len())
+        .position(|window| window == pattern)
 }
 
 /// Writes a message; the length of the body is added.
--- a/review/lab/json.rs
+++ b/review/lab/json.rs
@@ -92,7 +92,11 @@
 
     fn num(&mut self) -> Option<Json> {
         let start = self.at;
-        while self.bytes.get(self.at).is_some_and(|byte| b"+-.eE0123456789".contains(byte)) {
+        while self
+            .bytes
+            .get(self.at)
+            .is_some_and(|byte| b"+-.eE0123456789".contains(byte))
+        {
             self.at += 1;
         }
         let text = std::str::from_utf8(&self.bytes[start..self.at]).ok()?;
--- a/review/lab/main.rs
+++ b/review/lab/main.rs
@@ -6,6 +6,7 @@
 mod endpoint;
 mod http;
 mod json;
+mod keyed;
 mod link;
 mod record;
 mod scenarios;
--- a/review/lab/scenarios.rs
+++ b/review/lab/scenarios.rs
@@ -1,11 +1,13 @@
 //! The scenarios, each with its check. True: the rule held.
 
+mod late_copy;
 mod late_heartbeat;
 mod silent_store_link;
 
 use crate::client::{Readiness, probe};
 use crate::cluster::{Cluster, Node, Place};
 use crate::endpoint::{Endpoint, Runs};
+use crate::keyed::SharedLedger;
 use crate::record::Record;
 use std::io;
 use std::sync::Arc;
@@ -13,18 +15,25 @@
 
 pub const GALLERY: &str = "galerie";
 pub const DIARY: &str = "agenda";
+pub const TILL: &str = "caisse";
 pub const GALLERY_HOST: &str = "galerie.example";
 pub const DIARY_HOST: &str = "agenda.example";
+pub const TILL_HOST: &str = "caisse.example";
 
 pub fn run(scenario: &str, folder: &str, trouble: bool) -> io::Result<bool> {
     let record = Record::create(folder)?;
     record.say(format!("{scenario}, trouble={trouble}"));
     let held = match scenario {
+        "late-copy" => late_copy::run(&record, trouble)?,
         "silent-store-link" => silent_store_link::run(&record, trouble)?,
         "late-heartbeat" => late_heartbeat::run(&record, trouble)?,
         _ => return Err(io::Error::other(format!("no scenario {scenario}"))),
     };
-    record.say(if held { "the rule held" } else { "the rule was broken" });
+    record.say(if held {
+        "the rule held"
+    } else {
+        "the rule was broken"
+    });
     Ok(held)
 }
 
@@ -33,6 +42,7 @@
     pub cluster: Cluster,
     pub endpoints: Vec<Arc<Endpoint>>,
     pub runs: Runs,
+    pub ledger: SharedLedger,
     pub readiness: Readiness,
 }
 
@@ -40,10 +50,16 @@
     /// Starts the nodes with an endpoint beside each, and waits until all are ready and
     /// have been so for a while.
     pub fn start(record: &Record, places: &[(&'static str, &'static str)]) -> io::Result<Self> {
-        let places: Vec<Place> = places.iter().map(|(zone, service)| Place { zone, service }).collect();
+        let places: Vec<Place> = places
+            .iter()
+            .map(|(zone, service)| Place { zone, service })
+            .collect();
         let cluster = Cluster::new(record, &places)?;
-        cluster.store.put("op", "config", &configuration("r3", GALLERY));
+        cluster
+            .store
+            .put("op", "config", &configuration("r3", GALLERY));
         let runs = Runs::default();
+        let ledger = SharedLedger::default();
         let readiness = Readiness::default();
         let mut endpoints = Vec::new();
         for (index, node) in cluster.nodes.iter().enumerate() {
@@ -56,17 +72,21 @@
                 node.control(),
                 record,
                 &runs,
+                &ledger,
             )?);
         }
         let deployment = Self {
             cluster,
             endpoints,
             runs,
+            ledger,
             readiness,
         };
         for node in &deployment.cluster.nodes {
             wait_until_ready(node)?;
-            deployment.readiness.watch(&node.name, node.place.zone, node.ready(), record);
+            deployment
+                .readiness
+                .watch(&node.name, node.place.zone, node.ready(), record);
         }
         std::thread::sleep(Duration::from_secs(4));
         record.say("all nodes are ready");
@@ -97,14 +117,23 @@
     };
     let routes = [
         route("browse", GALLERY_HOST, "/browse/", "safe", GALLERY),
-        route("order", GALLERY_HOST, "/order/", "non_idempotent", orders_to),
+        route(
+            "order",
+            GALLERY_HOST,
+            "/order/",
+            "non_idempotent",
+            orders_to,
+        ),
         route("slots", DIARY_HOST, "/slots/", "safe", DIARY),
         route("book", DIARY_HOST, "/book/", "non_idempotent", DIARY),
+        route("receipts", TILL_HOST, "/receipts/", "safe", TILL),
+        route("pay", TILL_HOST, "/pay/", "non_idempotent", TILL),
     ];
     format!(
         "{{\"version\":\"{version}\",\"routes\":{{{}}},\"services\":{{\"{GALLERY}\":{{\"max-connections\":130,\
          \"health-path\":\"/healthz\"}},\"{DIARY}\":{{\"max-connections\":130,\"health-path\":\
-         \"/healthz\"}}}},\"limits\":{{\"max-header-bytes\":16384,\"max-body-bytes\":1048576,\
+         \"/healthz\"}},\"{TILL}\":{{\"max-connections\":130,\"health-path\":\"/healthz\",\
+         \"sharded\":true,\"warmup-s\":3.0,\"grants\":\"rpc\"}}}},\"limits\":{{\"max-header-bytes\":16384,\"max-body-bytes\":1048576,\
          \"header-timeout-s\":5,\"idle-timeout-s\":10}}}}",
         routes.join(",")
     )
--- a/review/lab/scenarios/late_heartbeat.rs
+++ b/review/lab/scenarios/late_heartbeat.rs
@@ -85,7 +85,9 @@
     }
     record.sleep_until(left_at - 1.0 + LATE_S);
     let status = endpoint.send_heartbeat(&late_heartbeat);
-    record.say(format!("a heartbeat from before the withdrawal arrives late, answered {status}"));
+    record.say(format!(
+        "a heartbeat from before the withdrawal arrives late, answered {status}"
+    ));
     record.sleep_until(left_at + SERVES_ON_S);
     endpoint.end();
     let ended_at = record.now();
@@ -97,7 +99,9 @@
     }
     let late_from = (left_at + DRAIN_S).max(in_touch_from);
     let runs = deployment.runs.lock().unwrap();
-    let late = runs.iter().filter(|run| run.endpoint == endpoint.id && run.began > late_from);
+    let late = runs
+        .iter()
+        .filter(|run| run.endpoint == endpoint.id && run.began > late_from);
     let late: Vec<_> = late.collect();
     for run in late.iter().take(10) {
         record.say(format!(
@@ -108,10 +112,17 @@
         ));
     }
     let outcomes = outcomes.lock().unwrap();
-    let cut_off = late.iter().filter(|run| outcomes.get(&run.id) != Some(&Outcome::Answer(200)));
+    let cut_off = late
+        .iter()
+        .filter(|run| outcomes.get(&run.id) != Some(&Outcome::Answer(200)));
     let cut_off: Vec<_> = cut_off.collect();
     for run in &cut_off {
-        record.say(format!("LOST: {} was at work when {} ended: {:?}", run.id, run.endpoint, outcomes.get(&run.id)));
+        record.say(format!(
+            "LOST: {} was at work when {} ended: {:?}",
+            run.id,
+            run.endpoint,
+            outcomes.get(&run.id)
+        ));
     }
     record.say(format!(
         "{} requests, {} runs; {} reached the endpoint over {:.2} s after its withdrawal by machines in \
@@ -137,7 +148,12 @@
         method,
         host,
         deadline: Duration::from_millis(1_500),
-        body: if method == "POST" { id.clone().into_bytes() } else { Vec::new() },
+        body: if method == "POST" {
+            id.clone().into_bytes()
+        } else {
+            Vec::new()
+        },
+        key: None,
         id,
     }
 }
--- a/review/lab/scenarios/silent_store_link.rs
+++ b/review/lab/scenarios/silent_store_link.rs
@@ -40,13 +40,16 @@
                 }
                 std::thread::sleep(Duration::from_millis(100));
                 let id = format!("c{client}n{number}");
-                sent.lock().unwrap().insert(id.clone(), (record.now(), name.clone()));
+                sent.lock()
+                    .unwrap()
+                    .insert(id.clone(), (record.now(), name.clone()));
                 let call = Call {
                     target: format!("/order/{id}?work=20"),
                     method: "POST",
                     host: GALLERY_HOST,
                     deadline: Duration::from_millis(1_000),
                     body: id.clone().into_bytes(),
+                    key: None,
                     id: id.clone(),
                 };
                 let (outcome, _) = connection.send(addr, &call, &record);
@@ -57,12 +60,19 @@
     std::thread::sleep(Duration::from_secs(3));
     if trouble {
         let silent = deployment.cluster.store_link.silence_open();
-        record.say(format!("{silent} open connections to the store go silent, new ones work"));
+        record.say(format!(
+            "{silent} open connections to the store go silent, new ones work"
+        ));
     }
     std::thread::sleep(Duration::from_secs_f64(STABLE_WINDOW_S + MARGIN_S));
-    deployment.cluster.store.put("op", "config", &configuration("r8", DIARY));
+    deployment
+        .cluster
+        .store
+        .put("op", "config", &configuration("r8", DIARY));
     let acknowledged = record.now();
-    record.say(format!("r8 is acknowledged: orders go to {DIARY}, no longer to {GALLERY}"));
+    record.say(format!(
+        "r8 is acknowledged: orders go to {DIARY}, no longer to {GALLERY}"
+    ));
     std::thread::sleep(Duration::from_secs_f64(WATCHED_S));
     is_over.store(true, Ordering::Release);
     for client in clients {
--- a/review/lab/store.rs
+++ b/review/lab/store.rs
@@ -45,7 +45,9 @@
         state.version += 1;
         let version = state.version;
         let place = (table.to_owned(), String::new(), key.to_owned());
-        state.rows.insert(place, (version, Some(base64(value.as_bytes()))));
+        state
+            .rows
+            .insert(place, (version, Some(base64(value.as_bytes()))));
         self.state.1.notify_all();
     }
 
@@ -77,7 +79,9 @@
         let now = self.started.elapsed().as_secs_f64();
         let rows = rows.join(",");
         let version = state.version;
-        format!("{{\"rows\":[{rows}],\"ver\":{version},\"now-s\":{now:.3},\"truncated\":{truncated}}}")
+        format!(
+            "{{\"rows\":[{rows}],\"ver\":{version},\"now-s\":{now:.3},\"truncated\":{truncated}}}"
+        )
     }
 
     fn get(&self, call: &Message) -> (u16, String) {
@@ -137,7 +141,10 @@
             .map(|(place, _)| quote(&place.1))
             .collect();
         parts.dedup();
-        (200, format!("{{\"parts\":[{}],\"truncated\":false}}", parts.join(",")))
+        (
+            200,
+            format!("{{\"parts\":[{}],\"truncated\":false}}", parts.join(",")),
+        )
     }
 
     fn transact(&self, body: &str) -> (u16, String) {
@@ -164,7 +171,9 @@
         state.version += 1;
         let version = state.version;
         for entry in txn.list("writes") {
-            state.rows.insert(place(entry), (version, Some(entry.text("value"))));
+            state
+                .rows
+                .insert(place(entry), (version, Some(entry.text("value"))));
         }
         for entry in txn.list("remove") {
             state.rows.insert(place(entry), (version, None));
