review: a withdrawal that a restarted node acknowledges is forgotten

Shown: rule DRAIN is broken. A node is killed and restarted; its endpoint withdraws before the new process has heard of it, and a heartbeat from before arrives late: the node takes the endpoint for ready.

--- a/review/lab/scenarios.rs
+++ b/review/lab/scenarios.rs
@@ -9,6 +9,7 @@
 use crate::endpoint::{Endpoint, Runs};
 use crate::keyed::SharedLedger;
 use crate::record::Record;
+use late_heartbeat::Order;
 use std::io;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -26,7 +27,8 @@
     let held = match scenario {
         "late-copy" => late_copy::run(&record, trouble)?,
         "silent-store-link" => silent_store_link::run(&record, trouble)?,
-        "late-heartbeat" => late_heartbeat::run(&record, trouble)?,
+        "late-heartbeat" => late_heartbeat::run(&record, trouble, Order::WithdrawThenKillAll)?,
+        "early-withdrawal" => late_heartbeat::run(&record, trouble, Order::KillOneThenWithdraw)?,
         _ => return Err(io::Error::other(format!("no scenario {scenario}"))),
     };
     record.say(if held {
--- a/review/lab/scenarios/late_heartbeat.rs
+++ b/review/lab/scenarios/late_heartbeat.rs
@@ -1,8 +1,10 @@
-//! An endpoint withdraws, all nodes' processes are killed and start again, and a heartbeat
-//! that the endpoint had sent before arrives late.
+//! An endpoint withdraws around a restart of processes, and a heartbeat that it had sent
+//! before arrives late.
 
-use super::{DIARY, DIARY_HOST, Deployment, GALLERY, GALLERY_HOST};
+use super::{DIARY, Deployment, GALLERY, GALLERY_HOST, wait_until_ready};
 use crate::client::{Call, Connection, Outcome};
+use crate::cluster::Node;
+use crate::endpoint::Endpoint;
 use crate::record::Record;
 use std::collections::BTreeMap;
 use std::io;
@@ -31,7 +33,35 @@
 const LATE_S: f64 = 3.0;
 const SERVES_ON_S: f64 = 12.0;
 
-pub fn run(record: &Record, trouble: bool) -> io::Result<bool> {
+/// What happens first.
+#[derive(Clone, Copy)]
+pub enum Order {
+    /// The endpoint withdraws; then the processes of all nodes are killed and restarted.
+    WithdrawThenKillAll,
+    /// The process of the endpoint's node is killed and restarted; then the endpoint
+    /// withdraws, before the new process has heard of it.
+    KillOneThenWithdraw,
+}
+
+/// Kills the processes of nodes and starts them again.
+fn restart(record: &Record, nodes: &[&Node]) -> io::Result<()> {
+    record.say(format!("SIGKILL to the processes of {} nodes", nodes.len()));
+    nodes.iter().for_each(|node| node.kill());
+    std::thread::sleep(Duration::from_millis(500));
+    nodes.iter().try_for_each(|node| node.start())
+}
+
+/// Withdraws the endpoint; returns when that was acknowledged.
+fn withdraw(record: &Record, endpoint: &Endpoint) -> io::Result<f64> {
+    let status = endpoint.leave();
+    record.say(format!("{} withdraws, answered {status}", endpoint.id));
+    match status {
+        200 => Ok(record.now()),
+        _ => Err(io::Error::other("the withdrawal was not acknowledged")),
+    }
+}
+
+pub fn run(record: &Record, trouble: bool, order: Order) -> io::Result<bool> {
     let deployment = Deployment::start(record, &PLACES)?;
     let outcomes = Arc::new(Mutex::new(BTreeMap::new()));
     let is_over = Arc::new(AtomicBool::new(false));
@@ -63,27 +93,27 @@
     let endpoint = &deployment.endpoints[LEAVING];
     // This heartbeat is under way for some seconds.
     let late_heartbeat = endpoint.heartbeat();
+    let sent_at = record.now();
     endpoint.stop_announcing();
-    std::thread::sleep(Duration::from_millis(1_000));
-    let status = endpoint.leave();
-    let left_at = record.now();
-    record.say(format!("{} withdraws, answered {status}", endpoint.id));
-    if status != 200 {
-        return Err(io::Error::other("the withdrawal was not acknowledged"));
-    }
-    let mut in_touch_from = left_at;
-    if trouble {
-        record.sleep_until(left_at + 0.3);
-        record.say("SIGKILL to the processes of all nodes");
-        let nodes = &deployment.cluster.nodes;
-        nodes.iter().for_each(|node| node.kill());
-        std::thread::sleep(Duration::from_millis(500));
-        for node in nodes {
-            node.start()?;
+    let (left_at, in_touch_from) = match order {
+        _ if !trouble => (withdraw(record, endpoint)?, record.now()),
+        Order::WithdrawThenKillAll => {
+            record.sleep_until(sent_at + 1.0);
+            let left_at = withdraw(record, endpoint)?;
+            record.sleep_until(left_at + 0.3);
+            restart(record, &deployment.cluster.nodes.iter().collect::<Vec<_>>())?;
+            (left_at, record.now())
         }
-        in_touch_from = record.now() + START_S + STABLE_WINDOW_S;
-    }
-    record.sleep_until(left_at - 1.0 + LATE_S);
+        Order::KillOneThenWithdraw => {
+            let node = &deployment.cluster.nodes[LEAVING];
+            restart(record, &[node])?;
+            let restarted_at = record.now();
+            wait_until_ready(node)?;
+            (withdraw(record, endpoint)?, restarted_at)
+        }
+    };
+    let in_touch_from = in_touch_from + START_S + STABLE_WINDOW_S;
+    record.sleep_until(sent_at + LATE_S);
     let status = endpoint.send_heartbeat(&late_heartbeat);
     record.say(format!(
         "a heartbeat from before the withdrawal arrives late, answered {status}"
@@ -140,11 +170,10 @@
 fn call(client: usize, id: String) -> Call {
     let (method, host, prefix) = match client % 3 {
         0 => ("GET", GALLERY_HOST, "browse"),
-        1 => ("POST", GALLERY_HOST, "order"),
-        _ => ("GET", DIARY_HOST, "slots"),
+        _ => ("POST", GALLERY_HOST, "order"),
     };
     Call {
-        target: format!("/{prefix}/{id}?work=150"),
+        target: format!("/{prefix}/{id}?work=250"),
         method,
         host,
         deadline: Duration::from_millis(1_500),
