The withdrawal of an upstream that its node does not know yet holds

Its node had just restarted: LocalUpstream looked for the id among the current and the last ended upstream, found neither, and returned without a trace, while the call was answered 200. A heartbeat from before, 2 s late, was then the first thing the process heard of the upstream.

Ruled out: the notices of other nodes (no process ever had the state that they could return), and the order of announcements (the late one is the first, so nothing makes it stale).

Withdrawals are tombstones now, kept by id whether the upstream is known or not. One of an unknown upstream covers the lives that began before it; a later life under the same id is used as before.

--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod suspects;
 pub mod upstream_notice;
 pub mod upstream_selection;
+pub mod withdrawals;
 
 pub use entry::{Entry, EntrySettings};
 pub use gate::{Gate, GateSettings};
--- a/crates/proxy/src/local_upstream.rs
+++ b/crates/proxy/src/local_upstream.rs
@@ -4,14 +4,16 @@
 //! announcement is applied only if it is newer than all that were seen: by its
 //! incarnation first, by its sequence within an incarnation. The upstream counts
 //! as gone when its address refuses connections, or when neither announcements
-//! nor responses of it arrive.
+//! nor responses of it arrive. Once it has said that it leaves, no announcement brings
+//! it back into use ([`crate::withdrawals`]).
 
 use crate::upstream_notice::{MaxRateNotice, NoticeReport, UpstreamNotice, millis};
+use crate::withdrawals::{Withdrawal, Withdrawals};
 use event_listener::Event;
 use ibiscove_types::{ServiceName, UpstreamIncarnation};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// A periodic status report of an upstream.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -108,28 +110,21 @@
     /// The newest incarnation that ended, and its last sequence. Announcements
     /// up to these are late and ignored.
     ended: Option<(UpstreamIncarnation, u64)>,
-    /// The incarnation that said last that it leaves, and when. It stays so even if
-    /// it was taken for ended and announces itself again.
-    leaving: Option<(UpstreamIncarnation, Instant)>,
+    /// Upstreams that have said that they leave. They stay so even if they were taken
+    /// for ended and announce themselves again.
+    withdrawals: Withdrawals,
     last_response: Option<Instant>,
 }
 
 impl State {
-    /// Returns since when the upstream that announces itself has been draining.
-    fn draining_since(&self, announcement: &Announcement, now: Instant) -> Option<Instant> {
-        match &self.leaving {
-            Some((leaving, since)) if *leaving == announcement.incarnation => Some(*since),
-            _ => announcement.draining.then_some(now),
-        }
-    }
-
     /// Records that an incarnation leaves. Returns whether that is new and it is the
     /// current one.
-    fn mark_leaving(&mut self, incarnation: &UpstreamIncarnation, now: Instant) -> bool {
-        let is_known = matches!(&self.leaving, Some((leaving, _)) if leaving == incarnation);
-        if !is_known {
-            self.leaving = Some((incarnation.clone(), now));
-        }
+    fn mark_leaving(&mut self, incarnation: &UpstreamIncarnation, since: Instant) -> bool {
+        let is_new = self.withdrawals.record(Withdrawal {
+            id: Arc::clone(&incarnation.id),
+            born_until_ms: incarnation.born_ms,
+            since,
+        });
         let Some(current) = self
             .current
             .as_mut()
@@ -137,8 +132,8 @@
         else {
             return false;
         };
-        current.draining_since.get_or_insert(now);
-        !is_known
+        current.draining_since.get_or_insert(since);
+        is_new
     }
 }
 
@@ -187,10 +182,10 @@
         if effect == AnnouncementEffect::Stale {
             return effect;
         }
-        let draining_since = state.draining_since(&announcement, now);
-        if let Some(since) = draining_since {
-            state.leaving = Some((announcement.incarnation.clone(), since));
+        if announcement.draining {
+            state.mark_leaving(&announcement.incarnation, now);
         }
+        let draining_since = state.withdrawals.since(&announcement.incarnation);
         if effect == AnnouncementEffect::Changed {
             log::info!(
                 upstream = &*announcement.incarnation.id,
@@ -220,23 +215,33 @@
         effect
     }
 
-    /// Marks the upstream as draining because it reported that it leaves, even if
-    /// none of its announcements said that it drains.
-    pub fn begin_draining(&self, id: &str, now: Instant) {
+    /// Withdraws an upstream from service because it reported that it leaves, even if
+    /// none of its announcements said that it drains. An upstream that this node does
+    /// not know is withdrawn too, with all its lives that began before the wall-clock
+    /// time `wall`: the node may have started after its last announcement.
+    pub fn withdraw(&self, id: &str, now: Instant, wall: SystemTime) {
         let mut state = self.lock();
         let current = state
             .current
             .as_ref()
             .map(|current| &current.announcement.incarnation);
         let ended = state.ended.as_ref().map(|(incarnation, _)| incarnation);
-        let Some(incarnation) = current.or(ended).filter(|known| *known.id == *id).cloned() else {
+        let known = current.or(ended).filter(|known| *known.id == *id).cloned();
+        if let Some(incarnation) = known {
+            if state.mark_leaving(&incarnation, now) {
+                drop(state);
+                log::info!(upstream = id; "upstream leaves");
+                self.inner.changed.notify(usize::MAX);
+            }
             return;
-        };
-        if state.mark_leaving(&incarnation, now) {
-            drop(state);
-            log::info!(upstream = id; "upstream leaves");
-            self.inner.changed.notify(usize::MAX);
         }
+        let since_epoch = wall.duration_since(UNIX_EPOCH).unwrap_or_default();
+        state.withdrawals.record(Withdrawal {
+            id: id.into(),
+            born_until_ms: millis(since_epoch).try_into().unwrap_or(i64::MAX),
+            since: now,
+        });
+        log::info!(upstream = id; "an upstream leaves that has not announced itself");
     }
 
     /// Applies the notice in an answer of an upstream to a request that was sent at
@@ -389,7 +394,7 @@
 
     /// Returns whether an incarnation of the upstream has said that it leaves.
     pub fn has_left(&self, incarnation: &UpstreamIncarnation) -> bool {
-        matches!(&self.lock().leaving, Some((leaving, _)) if leaving == incarnation)
+        self.lock().withdrawals.since(incarnation).is_some()
     }
 
     /// Returns whether the upstream accepts new requests. While it drains, only
--- a/crates/proxy/tests/local_upstream.rs
+++ b/crates/proxy/tests/local_upstream.rs
@@ -5,10 +5,11 @@
 use ibiscove_proxy::local_upstream::{
     Announcement, AnnouncementEffect, LocalUpstream, LocalUpstreamSettings,
 };
+use ibiscove_proxy::withdrawals::MAX_WITHDRAWALS;
 use ibiscove_types::UpstreamIncarnation;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use yare::parameterized;
 
 fn new_upstream() -> LocalUpstream {
@@ -70,10 +71,10 @@
 fn leaving_upstream_accepts_requests_only_if_divided_and_for_a_limited_time() {
     let (upstream, now) = (new_upstream(), Instant::now());
     upstream.apply_announcement(announcement("a", 10, 5, false), now);
-    upstream.begin_draining("another", now);
+    upstream.withdraw("another", now, SystemTime::now());
     let current = upstream.current().expect("the upstream is present");
     assert!(upstream.accepts_requests(&current, false, now));
-    upstream.begin_draining("a", now);
+    upstream.withdraw("a", now, SystemTime::now());
     let current = upstream.current().expect("a draining upstream is present");
     assert!(!upstream.accepts_requests(&current, false, now));
     assert!(
@@ -84,6 +85,41 @@
     assert!(!upstream.accepts_requests(&current, true, later));
 }
 
+/// Guards against an upstream that is used again, because it had withdrawn before its
+/// node, restarted since, had heard of it and its last announcement arrives after that.
+#[test]
+fn withdrawal_of_an_upstream_that_is_not_known_yet_holds_for_its_earlier_lives() {
+    let (upstream, now) = (new_upstream(), Instant::now());
+    let wall = UNIX_EPOCH + Duration::from_millis(15);
+    upstream.withdraw("a", now, wall);
+    upstream.apply_announcement(announcement("a", 10, 5, false), now);
+    let current = upstream.current().expect("the upstream is present");
+    assert_eq!(current.draining_since, Some(now));
+    assert!(!upstream.accepts_requests(&current, false, now));
+
+    upstream.apply_announcement(announcement("a", 20, 1, false), now);
+    let current = upstream.current().expect("the upstream is present");
+    assert_eq!(current.draining_since, None, "it started again since");
+}
+
+/// Guards against an upstream that is used again because calls for others have
+/// displaced its withdrawal.
+#[test]
+fn withdrawals_of_others_displace_only_the_oldest() {
+    let (upstream, now) = (new_upstream(), Instant::now());
+    let wall = SystemTime::now();
+    for other in 0..MAX_WITHDRAWALS {
+        upstream.withdraw(&format!("other-{other}"), now, wall);
+    }
+    upstream.withdraw("a", now, wall);
+    for other in 1..MAX_WITHDRAWALS {
+        upstream.withdraw(&format!("other-{other}"), now, wall);
+    }
+    upstream.apply_announcement(announcement("a", 10, 5, false), now);
+    let current = upstream.current().expect("the upstream is present");
+    assert!(current.draining_since.is_some());
+}
+
 #[test]
 fn missing_announcements_are_tolerated_while_the_upstream_responds() {
     let (upstream, now) = (new_upstream(), Instant::now());
--- a/crates/proxy/tests/upstream_notice.rs
+++ b/crates/proxy/tests/upstream_notice.rs
@@ -11,7 +11,7 @@
 use ibiscove_types::UpstreamIncarnation;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 use yare::parameterized;
 
 fn announcement(born_ms: i64, sequence: u64) -> Announcement {
@@ -147,7 +147,7 @@
     let now = Instant::now();
     let (upstream, incarnation) = announced(now);
     assert!(upstream.record_connection_refused(&incarnation));
-    upstream.begin_draining("a", now);
+    upstream.withdraw("a", now, SystemTime::now());
     upstream.apply_announcement(announcement(10, 6), now);
     assert!(is_draining(&upstream));
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -361,11 +361,12 @@
         controller.exchange_report(&incarnation, report)
     }
 
-    /// Marks the local upstream as draining after it reported that it leaves.
-    pub fn begin_upstream_draining(&self, id: &str) {
+    /// Withdraws the local upstream from service after it reported that it leaves.
+    pub fn withdraw_upstream(&self, id: &str) {
+        let clock = &self.inner.clock;
         self.inner
             .local_upstream
-            .begin_draining(id, self.inner.clock.now());
+            .withdraw(id, clock.now(), clock.wall());
         self.update_range_controller();
     }
 
--- a/crates/router/tests/crashing_requests.rs
+++ b/crates/router/tests/crashing_requests.rs
@@ -253,7 +253,7 @@
                 async move { send_request(&pool, entry, "/signs/deadly").await }
             });
             smol::Timer::after(Duration::from_millis(10)).await;
-            router.begin_upstream_draining("upstream-47");
+            router.withdraw_upstream("upstream-47");
             let (_, body) = sending.await;
             assert!(!body.contains("quarantined"), "{body}");
             while upstream.born_ms.load(Ordering::SeqCst) == 0 {
--- a/crates/router/tests/path.rs
+++ b/crates/router/tests/path.rs
@@ -45,7 +45,7 @@
         assert_eq!(send_request(&pool, at_gallery, "/nowhere/1").await.0, 404);
 
         // A draining upstream gets no new requests, and its service has no other.
-        gallery.begin_upstream_draining("upstream-1");
+        gallery.withdraw_upstream("upstream-1");
         let (status, body) = send_request(&pool, at_gallery, "/signs/1").await;
         assert_eq!(status, 503);
         assert!(body.contains("not-run"), "{body}");
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -43,7 +43,7 @@
 }
 
 impl CountingUpstream {
-    async fn serve(&self) -> SocketAddr {
+    pub async fn serve(&self) -> SocketAddr {
         let listener = TcpListener::bind("127.0.0.1:0")
             .await
             .expect("loopback has free ports");
