An acknowledged withdrawal outlives all processes

What an upstream had said of its leaving was in the memory of its gate, and of entries that had heard of it, so a heartbeat from before the withdrawal made it a ready upstream again.

Ruled out: the order of announcements in the new process (it has none to compare with), and the entries' notices, which are lost with all processes.

A node now keeps the withdrawals beside it in one row of the store. It reads the row at its start, and writes it, conditional on the version read, when an upstream withdraws by a call, by an announcement or in an answer. The call is acknowledged after the write; without it within 0.8 s the answer is 503. In a new era of the store the row is written again.

--- a/crates/proxy/src/local_upstream.rs
+++ b/crates/proxy/src/local_upstream.rs
@@ -101,6 +101,9 @@
     settings: LocalUpstreamSettings,
     addr: SocketAddr,
     state: Mutex<State>,
+    /// Upstreams that have said that they leave. They stay so even if they were taken
+    /// for ended and announce themselves again.
+    withdrawals: Withdrawals,
     changed: Arc<Event>,
 }
 
@@ -110,21 +113,12 @@
     /// The newest incarnation that ended, and its last sequence. Announcements
     /// up to these are late and ignored.
     ended: Option<(UpstreamIncarnation, u64)>,
-    /// Upstreams that have said that they leave. They stay so even if they were taken
-    /// for ended and announce themselves again.
-    withdrawals: Withdrawals,
     last_response: Option<Instant>,
 }
 
 impl State {
-    /// Records that an incarnation leaves. Returns whether that is new and it is the
-    /// current one.
-    fn mark_leaving(&mut self, incarnation: &UpstreamIncarnation, since: Instant) -> bool {
-        let is_new = self.withdrawals.record(Withdrawal {
-            id: Arc::clone(&incarnation.id),
-            born_until_ms: incarnation.born_ms,
-            since,
-        });
+    /// Marks an incarnation as draining. Returns whether it is the current one.
+    fn mark_draining(&mut self, incarnation: &UpstreamIncarnation, since: Instant) -> bool {
         let Some(current) = self
             .current
             .as_mut()
@@ -133,7 +127,25 @@
             return false;
         };
         current.draining_since.get_or_insert(since);
-        is_new
+        true
+    }
+}
+
+impl Inner {
+    /// Records that an incarnation leaves. Returns whether that is new and it is the
+    /// current one.
+    fn mark_leaving(
+        &self,
+        state: &mut State,
+        incarnation: &UpstreamIncarnation,
+        since: Instant,
+    ) -> bool {
+        let is_new = self.withdrawals.record(Withdrawal {
+            id: Arc::clone(&incarnation.id),
+            born_until_ms: incarnation.born_ms,
+            since,
+        });
+        state.mark_draining(incarnation, since) && is_new
     }
 }
 
@@ -146,6 +158,7 @@
                 settings,
                 addr,
                 state: Mutex::default(),
+                withdrawals: Withdrawals::default(),
                 changed,
             }),
         }
@@ -183,9 +196,10 @@
             return effect;
         }
         if announcement.draining {
-            state.mark_leaving(&announcement.incarnation, now);
+            self.inner
+                .mark_leaving(&mut state, &announcement.incarnation, now);
         }
-        let draining_since = state.withdrawals.since(&announcement.incarnation);
+        let draining_since = self.inner.withdrawals.since(&announcement.incarnation);
         if effect == AnnouncementEffect::Changed {
             log::info!(
                 upstream = &*announcement.incarnation.id,
@@ -228,7 +242,7 @@
         let ended = state.ended.as_ref().map(|(incarnation, _)| incarnation);
         let known = current.or(ended).filter(|known| *known.id == *id).cloned();
         if let Some(incarnation) = known {
-            if state.mark_leaving(&incarnation, now) {
+            if self.inner.mark_leaving(&mut state, &incarnation, now) {
                 drop(state);
                 log::info!(upstream = id; "upstream leaves");
                 self.inner.changed.notify(usize::MAX);
@@ -236,7 +250,7 @@
             return;
         }
         let since_epoch = wall.duration_since(UNIX_EPOCH).unwrap_or_default();
-        state.withdrawals.record(Withdrawal {
+        self.inner.withdrawals.record(Withdrawal {
             id: id.into(),
             born_until_ms: millis(since_epoch).try_into().unwrap_or(i64::MAX),
             since: now,
@@ -244,6 +258,34 @@
         log::info!(upstream = id; "an upstream leaves that has not announced itself");
     }
 
+    /// Returns the withdrawals, which are to be stored.
+    pub fn withdrawals(&self) -> &Withdrawals {
+        &self.inner.withdrawals
+    }
+
+    /// Applies the withdrawals that an earlier process of this node has stored.
+    /// Returns whether the upstream begins to drain by this.
+    pub fn adopt_withdrawals(&self, stored: Vec<Withdrawal>) -> bool {
+        self.inner.withdrawals.merge_stored(stored);
+        let mut state = self.lock();
+        let Some(current) = state.current.as_mut() else {
+            return false;
+        };
+        let since = self
+            .inner
+            .withdrawals
+            .since(&current.announcement.incarnation);
+        let begins_draining = current.draining_since.is_none() && since.is_some();
+        if begins_draining {
+            current.draining_since = since;
+            let upstream = Arc::clone(&current.announcement.incarnation.id);
+            drop(state);
+            log::info!(upstream = &*upstream; "the upstream had left before this process started");
+            self.inner.changed.notify(usize::MAX);
+        }
+        begins_draining
+    }
+
     /// Applies the notice in an answer of an upstream to a request that was sent at
     /// `sent_at`. An answer lifts a limit only if its request was sent after the
     /// limit had last been named, since answers overtake one another. Returns whether
@@ -256,7 +298,8 @@
         now: Instant,
     ) -> bool {
         let mut state = self.lock();
-        let begins_draining = notice.is_leaving && state.mark_leaving(incarnation, now);
+        let begins_draining =
+            notice.is_leaving && self.inner.mark_leaving(&mut state, incarnation, now);
         let Some(current) = state
             .current
             .as_mut()
@@ -305,7 +348,7 @@
         let mut state = self.lock();
         let begins_draining = report.leaving_ms.is_some_and(|ms| {
             let since = now.checked_sub(Duration::from_millis(ms)).unwrap_or(now);
-            state.mark_leaving(&report.upstream, since)
+            self.inner.mark_leaving(&mut state, &report.upstream, since)
         });
         let unanswered = state.current.as_mut().filter(|current| {
             current.announcement.incarnation == report.upstream && !current.has_answered
@@ -394,7 +437,7 @@
 
     /// Returns whether an incarnation of the upstream has said that it leaves.
     pub fn has_left(&self, incarnation: &UpstreamIncarnation) -> bool {
-        self.lock().withdrawals.since(incarnation).is_some()
+        self.inner.withdrawals.since(incarnation).is_some()
     }
 
     /// Returns whether the upstream accepts new requests. While it drains, only
--- a/crates/router/src/join.rs
+++ b/crates/router/src/join.rs
@@ -34,6 +34,7 @@
         loop {
             if joined_in.is_none() || self.inner.table.era() != joined_in {
                 if joined_in.is_some() {
+                    self.inner.local_upstream.withdrawals().mark_lost();
                     clock.sleep(MAX_REJOIN_DELAY.mul_f64(fastrand::f64())).await;
                 }
                 let nodes = self.register_and_greet(&addresses).await;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -13,6 +13,7 @@
 mod settings;
 mod shutdown;
 mod stored_suspects;
+mod stored_withdrawals;
 
 pub use settings::{RouterAddrs, RouterSettings};
 
@@ -268,6 +269,7 @@
         smol::spawn(inner.gate.clone().run_pacing()).detach();
         smol::spawn(self.clone().join(addresses)).detach();
         smol::spawn(self.clone().store_suspects()).detach();
+        smol::spawn(self.clone().store_withdrawals()).detach();
         smol::spawn(self.clone().run_maintenance()).detach();
     }
 
@@ -361,7 +363,8 @@
         controller.exchange_report(&incarnation, report)
     }
 
-    /// Withdraws the local upstream from service after it reported that it leaves.
+    /// Withdraws the local upstream from service after it reported that it leaves. That
+    /// is to be acknowledged once [`Router::withdrawals_stored`] says so.
     pub fn withdraw_upstream(&self, id: &str) {
         let clock = &self.inner.clock;
         self.inner
@@ -408,7 +411,26 @@
         }
     }
 
-    fn update_range_controller(&self) {
+    /// Returns whether all withdrawals so far are stored, for which it waits a while. A
+    /// withdrawal that is acknowledged without this is forgotten if all processes are
+    /// killed.
+    pub async fn withdrawals_stored(&self) -> bool {
+        let stored = async {
+            self.inner
+                .local_upstream
+                .withdrawals()
+                .wait_until_stored()
+                .await;
+            true
+        };
+        let timeout = async {
+            self.inner.clock.sleep(STORE_WITHDRAWAL_TIMEOUT).await;
+            false
+        };
+        stored.or(timeout).await
+    }
+
+    pub(crate) fn update_range_controller(&self) {
         let Some(controller) = self.inner.range_controller.get() else {
             return;
         };
@@ -463,6 +485,10 @@
     }
 }
 
+/// Time within which a withdrawal is stored or its acknowledgement refused. Upstreams
+/// wait a second for an acknowledgement.
+const STORE_WITHDRAWAL_TIMEOUT: Duration = Duration::from_millis(800);
+
 /// Time for which changes of range maps are coalesced before they are passed on.
 const NEWS_COALESCE_DELAY: Duration = Duration::from_millis(5);
 
