Answers without end are kept within a memory budget

What operators of a similar system saw can happen here: a faulty upstream sends bytes without end and the node that called it runs out of memory.

A single head or body was bounded by its bytes (some 400 KiB of a head, 256 KiB of a body's beginning), but not by what these bytes hold on to, nor in number. A frame refers to the buffer that it was received in, so that one byte of a chunked body with padded chunk sizes kept 64 KiB or more. The smallest machines have 160 MB.

Ways that read an answer, each looked at: the gate's and the entry's reading ahead (the fault above); heads and unread bytes of a connection (408 KiB each now 64 KiB); fetches from other nodes (64 MiB now 4 MiB); the store (4 MiB), grants and releases (16 KiB, with timeouts): bounded, and their frames are now copied too; request bodies within their budget held on to buffers in the same way. Interim answers and endless chunk sizes grow nothing.

Frames are now copied into blocks of 16 KiB, and all answers that are read ahead share 16 MiB; beyond it an answer is streamed as it comes.

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -1,6 +1,6 @@
 //! Message bodies, buffered or streamed from another connection.
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -10,10 +10,12 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::task::{Context, Poll};
 
-/// An outgoing body: chunks already read, then optionally the rest of a body
-/// that is still being received, with a guard that is dropped at its end.
+/// An outgoing body: bytes already read, then optionally the rest of a body that is
+/// still being received, with a guard that is dropped at its end.
 pub struct Body<G = ()> {
-    chunks: VecDeque<Bytes>,
+    read: VecDeque<Bytes>,
+    /// Dropped once the bytes already read have been passed on.
+    reservation: Option<BodyReservation>,
     rest: Option<(Incoming, G)>,
 }
 
@@ -21,11 +23,15 @@
     /// Returns a body that is complete in memory.
     pub fn whole(bytes: impl Into<Bytes>) -> Self {
         let bytes = bytes.into();
-        let chunks = match bytes.is_empty() {
+        let read = match bytes.is_empty() {
             true => VecDeque::new(),
             false => VecDeque::from([bytes]),
         };
-        Self { chunks, rest: None }
+        Self {
+            read,
+            reservation: None,
+            rest: None,
+        }
     }
 
     /// Returns whether all of it is in memory.
@@ -33,10 +39,19 @@
         self.rest.is_none()
     }
 
-    /// Returns a body of chunks already read and the rest that follows them. The
-    /// guard is dropped once the rest has been read to its end.
-    pub fn streamed(chunks: VecDeque<Bytes>, rest: Option<(Incoming, G)>) -> Self {
-        Self { chunks, rest }
+    /// Returns a body of bytes already read, with the memory that they use, and the
+    /// rest that follows them. The guard is dropped once the rest has been read to its
+    /// end.
+    pub fn relayed(
+        read: ReadBytes,
+        reservation: BodyReservation,
+        rest: Option<(Incoming, G)>,
+    ) -> Self {
+        Self {
+            read: read.into_blocks(),
+            reservation: Some(reservation),
+            rest,
+        }
     }
 }
 
@@ -49,8 +64,11 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
         let this = self.get_mut();
-        if let Some(chunk) = this.chunks.pop_front() {
-            return Poll::Ready(Some(Ok(Frame::data(chunk))));
+        if let Some(block) = this.read.pop_front() {
+            if this.read.is_empty() {
+                this.reservation = None;
+            }
+            return Poll::Ready(Some(Ok(Frame::data(block))));
         }
         let Some((rest, _)) = &mut this.rest else {
             return Poll::Ready(None);
@@ -63,19 +81,20 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.chunks.is_empty() && self.rest.is_none()
+        self.read.is_empty() && self.rest.is_none()
     }
 
     fn size_hint(&self) -> SizeHint {
-        let read: usize = self.chunks.iter().map(Bytes::len).sum();
-        let mut hint = SizeHint::with_exact(read as u64);
+        let read: usize = self.read.iter().map(Bytes::len).sum();
+        let read = read as u64;
+        let mut hint = SizeHint::with_exact(read);
         if let Some((rest, _)) = &self.rest {
             let rest = rest.size_hint();
             match rest.exact() {
-                Some(rest) => hint.set_exact(read as u64 + rest),
+                Some(rest) => hint.set_exact(read + rest),
                 None => {
                     hint = SizeHint::new();
-                    hint.set_lower(read as u64 + rest.lower());
+                    hint.set_lower(read + rest.lower());
                 }
             }
         }
@@ -120,6 +139,14 @@
         self.available.load(Ordering::Acquire)
     }
 
+    /// Returns a reservation of no bytes, which grows with a body.
+    pub fn reserve(&self) -> BodyReservation {
+        BodyReservation {
+            budget: self.clone(),
+            bytes: 0,
+        }
+    }
+
     fn try_take(&self, bytes: usize) -> bool {
         let take = |available: usize| available.checked_sub(bytes);
         self.available
@@ -136,14 +163,21 @@
 }
 
 impl BodyReservation {
-    fn grow_to(&mut self, bytes: usize) -> Result<(), ReadError> {
+    fn try_grow_to(&mut self, bytes: usize) -> bool {
         let more = bytes.saturating_sub(self.bytes);
-        if !self.budget.try_take(more) {
-            metrics::counter!("ibiscove_bodies_without_memory_total").increment(1);
-            return Err(ReadError::NoMemory);
+        let fits = self.budget.try_take(more);
+        if fits {
+            self.bytes += more;
+        }
+        fits
+    }
+
+    fn grow_to(&mut self, bytes: usize) -> Result<(), ReadError> {
+        if self.try_grow_to(bytes) {
+            return Ok(());
         }
-        self.bytes += more;
-        Ok(())
+        metrics::counter!("ibiscove_bodies_without_memory_total").increment(1);
+        Err(ReadError::NoMemory)
     }
 }
 
@@ -155,6 +189,73 @@
     }
 }
 
+/// Size of the blocks in which the bytes of a body are kept.
+const BLOCK_BYTES: usize = 16 << 10;
+
+/// The bytes of a body that have been read so far.
+///
+/// The frames of a body are copied into blocks, except for the first one, often the
+/// only one. A frame refers to the whole buffer that it was received in, so that short
+/// ones would keep much more memory than their own bytes.
+#[derive(Debug, Default)]
+pub struct ReadBytes {
+    blocks: VecDeque<Bytes>,
+    /// The block that is being filled.
+    last: BytesMut,
+    len: usize,
+}
+
+impl ReadBytes {
+    /// Appends a frame.
+    pub fn push(&mut self, mut data: Bytes) {
+        let is_first = self.len == 0;
+        self.len += data.len();
+        if is_first {
+            self.blocks.push_back(data);
+            return;
+        }
+        while !data.is_empty() {
+            let room = BLOCK_BYTES - self.last.len();
+            let part = data.split_to(room.min(data.len()));
+            self.last.extend_from_slice(&part);
+            if self.last.len() == BLOCK_BYTES {
+                self.blocks
+                    .push_back(std::mem::take(&mut self.last).freeze());
+            }
+        }
+    }
+
+    /// Returns how many bytes have been read.
+    #[expect(
+        clippy::len_without_is_empty,
+        reason = "whether a body is empty is known at its end only"
+    )]
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    fn into_blocks(mut self) -> VecDeque<Bytes> {
+        if !self.last.is_empty() {
+            self.blocks.push_back(self.last.freeze());
+        }
+        self.blocks
+    }
+
+    /// Returns the bytes in one buffer. Those of a single frame are not copied.
+    pub fn into_bytes(self) -> Bytes {
+        let len = self.len;
+        let mut blocks = self.into_blocks();
+        if blocks.len() <= 1 {
+            return blocks.pop_front().unwrap_or_default();
+        }
+        let mut joined = BytesMut::with_capacity(len);
+        for block in blocks {
+            joined.extend_from_slice(&block);
+        }
+        joined.freeze()
+    }
+}
+
 /// Reads a complete body into memory, within a budget that all bodies share. The
 /// bytes of a body with a stated length are reserved before any is read, so that
 /// one that does not fit fails at once.
@@ -163,28 +264,28 @@
     limit: usize,
     budget: &BodyBudget,
 ) -> Result<(Bytes, BodyReservation), ReadError> {
-    let mut reservation = BodyReservation {
-        budget: budget.clone(),
-        bytes: 0,
-    };
+    let mut reservation = budget.reserve();
     let stated = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
     if stated > limit {
         return Err(ReadError::TooLong { limit });
     }
     reservation.grow_to(stated)?;
-    let mut chunks = VecDeque::new();
-    let reserve = |read| reservation.grow_to(read);
-    if !read_frames(&mut body, limit, &mut chunks, reserve).await? {
-        return Err(ReadError::TooLong { limit });
+    let mut read = ReadBytes::default();
+    while let Some(data) = next_data(&mut body).await? {
+        read.push(data);
+        if read.len() > limit {
+            return Err(ReadError::TooLong { limit });
+        }
+        reservation.grow_to(read.len())?;
     }
-    Ok((concat(chunks), reservation))
+    Ok((read.into_bytes(), reservation))
 }
 
 /// Reads a complete body into memory.
 pub async fn read_whole(mut body: Incoming, limit: usize) -> Result<Bytes, ReadError> {
-    let mut chunks = VecDeque::new();
-    match read_up_to(&mut body, limit, &mut chunks).await? {
-        true => Ok(concat(chunks)),
+    let mut read = ReadBytes::default();
+    match read_up_to(&mut body, limit, &mut read).await? {
+        true => Ok(read.into_bytes()),
         false => Err(ReadError::TooLong { limit }),
     }
 }
@@ -194,45 +295,40 @@
 pub async fn read_up_to(
     body: &mut Incoming,
     limit: usize,
-    chunks: &mut VecDeque<Bytes>,
+    read: &mut ReadBytes,
 ) -> Result<bool, hyper::Error> {
-    read_frames(body, limit, chunks, |_| Ok(())).await
+    while let Some(data) = next_data(body).await? {
+        read.push(data);
+        if read.len() > limit {
+            return Ok(false);
+        }
+    }
+    Ok(true)
 }
 
-/// Does the same, and passes the bytes read so far to `on_read`, whose error ends
-/// the reading. It is not called for the bytes beyond `limit`.
-async fn read_frames<E: From<hyper::Error>>(
+/// Reads a body until its end, until more than `limit` bytes were read, or until the
+/// budget of the reservation has no room for more. Returns whether the end was reached.
+pub async fn read_ahead(
     body: &mut Incoming,
     limit: usize,
-    chunks: &mut VecDeque<Bytes>,
-    mut on_read: impl FnMut(usize) -> Result<(), E>,
-) -> Result<bool, E> {
-    let mut read = 0;
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame?.into_data() else {
-            // Trailers are not forwarded.
-            continue;
-        };
-        read += data.len();
-        if read <= limit {
-            on_read(read)?;
-        }
-        chunks.push_back(data);
-        if read > limit {
+    reservation: &mut BodyReservation,
+    read: &mut ReadBytes,
+) -> Result<bool, hyper::Error> {
+    while let Some(data) = next_data(body).await? {
+        read.push(data);
+        if read.len() > limit || !reservation.try_grow_to(read.len()) {
             return Ok(false);
         }
     }
     Ok(true)
 }
 
-/// Concatenates chunks into one buffer; a single chunk is not copied.
-pub fn concat(mut chunks: VecDeque<Bytes>) -> Bytes {
-    match chunks.len() {
-        0 => Bytes::new(),
-        1 => chunks.pop_front().unwrap_or_default(),
-        _ => chunks
-            .iter()
-            .flat_map(|chunk| chunk.iter().copied())
-            .collect(),
+/// Returns the next bytes of a body; none at its end. Trailers are not forwarded.
+async fn next_data(body: &mut Incoming) -> Result<Option<Bytes>, hyper::Error> {
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame?.into_data() {
+            return Ok(Some(data));
+        }
     }
+    Ok(None)
 }
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -29,6 +29,9 @@
     pub max_idle_per_addr: usize,
     /// Whether closing a connection discards unsent bytes.
     pub reset_on_close: bool,
+    /// Largest head of a response, in bytes; no connection buffers more of what it
+    /// receives. As large as [`ServerSettings::max_head_bytes`](crate::ServerSettings).
+    pub max_head_bytes: usize,
 }
 
 impl Default for PoolSettings {
@@ -38,6 +41,7 @@
             max_idle: Duration::from_secs(4),
             max_idle_per_addr: 64,
             reset_on_close: true,
+            max_head_bytes: 64 << 10,
         }
     }
 }
@@ -121,11 +125,17 @@
 
 impl Connection {
     /// Starts HTTP on a connected stream.
-    pub(crate) async fn start<S>(addr: SocketAddr, stream: S) -> Result<Self, SendError>
+    pub(crate) async fn start<S>(
+        addr: SocketAddr,
+        stream: S,
+        settings: &PoolSettings,
+    ) -> Result<Self, SendError>
     where
         S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
-        let (sender, driver) = http1::handshake(FuturesIo::new(stream))
+        let (sender, driver) = http1::Builder::new()
+            .max_buf_size(settings.max_head_bytes)
+            .handshake(FuturesIo::new(stream))
             .await
             .map_err(|cause| SendError::Connect {
                 addr,
@@ -276,7 +286,7 @@
 
     async fn connect(&self, addr: SocketAddr) -> Result<Connection, SendError> {
         let stream = connect(addr, &self.inner.settings).await?;
-        Connection::start(addr, stream).await
+        Connection::start(addr, stream, &self.inner.settings).await
     }
 
     async fn exchange(
--- a/crates/http/src/direct.rs
+++ b/crates/http/src/direct.rs
@@ -95,7 +95,7 @@
 }
 
 impl<C: BootClock + Unpin> DirectConnection<C> {
-    /// Connects to an address. Of the settings, those of a pool have no effect.
+    /// Connects to an address. Of the settings, those of idle connections have no effect.
     pub async fn open(
         addr: SocketAddr,
         settings: &PoolSettings,
@@ -108,7 +108,7 @@
             clock: clock.clone(),
             state: Arc::clone(&write_state),
         };
-        let connection = Connection::start(addr, timed_stream).await?;
+        let connection = Connection::start(addr, timed_stream, settings).await?;
         Ok(Self {
             addr,
             clock,
--- a/crates/http/tests/body.rs
+++ b/crates/http/tests/body.rs
@@ -1,11 +1,13 @@
 //! Bodies of requests that are kept in memory, within a budget for all of them.
 
+use bytes::Bytes;
 use hyper::{Method, Request, Response};
-use ibiscove_http::body::{BodyBudget, ReadError, read_within_budget};
+use ibiscove_http::body::{BodyBudget, ReadBytes, ReadError, read_within_budget};
 use ibiscove_http::{Body, Exchange, Pool, PoolSettings, Server, ServerSettings};
 use smol::channel::{Receiver, Sender};
 use smol::net::TcpListener;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 const LIMIT: usize = 100_000;
@@ -75,3 +77,35 @@
         assert_eq!(budget.available(), 150_000, "all is returned");
     });
 }
+
+/// A buffer that a connection has received into.
+struct ReceiveBuffer {
+    bytes: Vec<u8>,
+    _alive: Arc<()>,
+}
+
+impl AsRef<[u8]> for ReceiveBuffer {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// Guards against a body of a few bytes that keeps megabytes: each short frame refers to
+/// the whole buffer that it was received in.
+#[test]
+fn short_frames_do_not_keep_the_buffers_that_they_were_received_in() {
+    let alive = Arc::new(());
+    let mut read = ReadBytes::default();
+    for number in 0..100_u8 {
+        let buffer = Bytes::from_owner(ReceiveBuffer {
+            bytes: vec![number; 64 << 10],
+            _alive: Arc::clone(&alive),
+        });
+        read.push(buffer.slice(..2));
+    }
+    let kept = Arc::strong_count(&alive) - 1;
+    assert!(kept <= 1, "{kept} buffers are kept");
+    assert_eq!(read.len(), 200);
+    let expected: Vec<u8> = (0..100).flat_map(|number| [number, number]).collect();
+    assert_eq!(read.into_bytes(), expected);
+}
--- a/crates/http/tests/client.rs
+++ b/crates/http/tests/client.rs
@@ -2,7 +2,7 @@
 //! truncated, without length, followed by stray bytes, or missing.
 
 use hyper::{Method, Request};
-use ibiscove_http::body::{read_up_to, read_whole};
+use ibiscove_http::body::{ReadBytes, read_up_to, read_whole};
 use ibiscove_http::{Body, DirectConnection, Exchange, Pool, PoolSettings, SendError};
 use ibiscove_types::{BootClock, SinceBoot, SystemClock};
 use smol::io::{AsyncReadExt, AsyncWriteExt};
@@ -295,10 +295,10 @@
             ..
         } = sent.expect("the head is complete");
         let mut body = response.into_body();
-        let mut chunks = std::collections::VecDeque::new();
-        let is_whole = read_up_to(&mut body, 64 << 10, &mut chunks).await;
+        let mut read = ReadBytes::default();
+        let is_whole = read_up_to(&mut body, 64 << 10, &mut read).await;
         assert!(matches!(is_whole, Ok(false)), "{is_whole:?}");
-        let kept: usize = chunks.iter().map(bytes::Bytes::len).sum();
+        let kept = read.len();
         assert!(kept < 1 << 20, "{kept} bytes were read");
         drop((body, connection));
         let sent = within(Duration::from_secs(20), closed.recv()).await;
--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -106,6 +106,8 @@
     pub pool: Pool,
     /// Memory for the bodies of requests.
     pub body_budget: BodyBudget,
+    /// Memory for the responses that are read before they are relayed.
+    pub response_budget: BodyBudget,
 }
 
 /// The entry of a node. Clones share it.
--- a/crates/proxy/src/entry/attempt.rs
+++ b/crates/proxy/src/entry/attempt.rs
@@ -197,14 +197,15 @@
         );
         if let Some(refusal) = refusal {
             // Reading the body to its end makes the connection reusable.
-            drop(read_response::<()>(exchange, None).await);
+            drop(read_response::<()>(exchange, None, &deps.response_budget).await);
             return Err(refusal);
         }
         let is_from_gate = exchange.response.headers().contains_key(OUTCOME);
         if !is_from_gate {
             return Err(Refusal::unknown(Reason::PeerLost));
         }
-        let mut response = read_response(exchange, None).await.map_err(|err| {
+        let read = read_response(exchange, None, &deps.response_budget).await;
+        let mut response = read.map_err(|err| {
             log::info!(request = &*plan.metadata.request_id, peer = &*target.node;
                 "a peer's answer broke off; the outcome of the request is unknown: {err}");
             Refusal::unknown(Reason::PeerLost)
--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -21,6 +21,7 @@
 use event_listener::Event;
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method, Request, Uri};
+use ibiscove_http::body::BodyBudget;
 use ibiscove_http::{Body, Pool};
 use ibiscove_ranges::controller::{KeyStatus, RangeController};
 use ibiscove_routing::admission::{
@@ -144,6 +145,8 @@
     local_upstream: LocalUpstream,
     suspects: Suspects,
     pool: Pool,
+    /// Memory for the responses that are read before they are relayed.
+    response_budget: BodyBudget,
     /// Set once the configuration declares the upstream's service as divided.
     key_ownership: OnceLock<K>,
     admission: Mutex<AdmissionController<Waiter<K, C>>>,
@@ -309,6 +312,7 @@
         local_upstream: LocalUpstream,
         suspects: Suspects,
         pool: Pool,
+        response_budget: BodyBudget,
     ) -> Self {
         Self {
             inner: Arc::new(Inner {
@@ -318,6 +322,7 @@
                 local_upstream,
                 suspects,
                 pool,
+                response_budget,
                 key_ownership: OnceLock::new(),
                 admission: Mutex::new(AdmissionController::new(1)),
                 latencies: Mutex::default(),
--- a/crates/proxy/src/peer_api.rs
+++ b/crates/proxy/src/peer_api.rs
@@ -32,8 +32,11 @@
 /// Path under which a node serves what it knows of requests beside which upstreams
 /// have crashed.
 const SUSPECTS_PATH: &str = "/_ibiscove/suspects";
-/// Largest body that is accepted from another node.
+/// Largest body of a request of another node.
 const MAX_BODY_BYTES: usize = 64 << 20;
+/// Largest response of another node: a configuration and the sections of a map are rows
+/// of the store, of tens of KiB each.
+const MAX_FETCHED_BYTES: usize = 4 << 20;
 /// Timeout for fetching a peer's configuration or map.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -236,7 +239,7 @@
             ..
         } = sent;
         let status = response.status();
-        let body = read_whole(response.into_body(), MAX_BODY_BYTES).await?;
+        let body = read_whole(response.into_body(), MAX_FETCHED_BYTES).await?;
         connection.return_to_pool();
         match status.is_success() {
             true => Ok(body),
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -2,10 +2,9 @@
 
 use hyper::Response;
 use hyper::body::Incoming;
-use ibiscove_http::body::read_up_to;
+use ibiscove_http::body::{BodyBudget, ReadBytes, read_ahead};
 use ibiscove_http::client::PooledConnection;
 use ibiscove_http::{Body, Exchange};
-use std::collections::VecDeque;
 
 /// Bytes of a response that are read before it is relayed. Most responses fit,
 /// so a truncated one can be retried.
@@ -20,11 +19,13 @@
 /// A response on its way to the caller.
 pub type RelayedResponse<P> = Response<Body<StreamGuard<P>>>;
 
-/// Reads a response's body, or its beginning when it is long. If this reads it to
-/// its end, the connection is reused and the permit released.
+/// Reads a response's body, or its beginning when it is long or the budget of all
+/// responses has no room for it. If this reads it to its end, the connection is reused
+/// and the permit released.
 pub async fn read_response<P>(
     exchange: Exchange,
     permit: Option<P>,
+    budget: &BodyBudget,
 ) -> Result<RelayedResponse<P>, hyper::Error> {
     let Exchange {
         response,
@@ -32,8 +33,10 @@
         ..
     } = exchange;
     let (head, mut body): (_, Incoming) = response.into_parts();
-    let mut chunks = VecDeque::new();
-    let rest = match read_up_to(&mut body, READ_AHEAD_BYTES, &mut chunks).await? {
+    let mut read = ReadBytes::default();
+    let mut reservation = budget.reserve();
+    let is_whole = read_ahead(&mut body, READ_AHEAD_BYTES, &mut reservation, &mut read).await?;
+    let rest = match is_whole {
         true => {
             connection.return_to_pool();
             None
@@ -46,5 +49,6 @@
             Some((body, guard))
         }
     };
-    Ok(Response::from_parts(head, Body::streamed(chunks, rest)))
+    let body = Body::relayed(read, reservation, rest);
+    Ok(Response::from_parts(head, body))
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -137,6 +137,7 @@
         );
         let suspects = Suspects::new(clock.now(), clock.wall());
         let upstream_pool = Pool::new(PoolSettings::default());
+        let response_budget = BodyBudget::new(settings.max_response_memory);
         let gate = Gate::new(
             settings.gate,
             names.clone(),
@@ -144,6 +145,7 @@
             local_upstream.clone(),
             suspects.clone(),
             upstream_pool,
+            response_budget.clone(),
         );
         let peer_pool = Pool::new(PoolSettings {
             max_idle: settings.entry.max_idle,
@@ -167,6 +169,7 @@
             suspects: suspects.clone(),
             pool: peer_pool.clone(),
             body_budget: body_budget.clone(),
+            response_budget,
         });
         let router = Self {
             inner: Arc::new(Inner {
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -42,6 +42,10 @@
     /// Most bytes of requests' bodies that the node keeps at a time. A body is kept
     /// whole until its request has ended, so that it can be sent again.
     pub max_body_memory: usize,
+    /// Most bytes of responses that the node keeps at a time. The beginning of a
+    /// response is read before it is relayed, so that one that breaks off there can be
+    /// replaced; without memory for it the response is streamed as it comes.
+    pub max_response_memory: usize,
     /// Settings of the entry.
     pub entry: EntrySettings,
     /// Settings of the gate.
@@ -70,6 +74,7 @@
             min_shutdown_duration: Duration::from_millis(2_600),
             max_shutdown_duration: Duration::from_millis(5_400),
             max_body_memory: 32 << 20,
+            max_response_memory: 16 << 20,
             entry: EntrySettings::default(),
             gate: GateSettings::default(),
             local_upstream: LocalUpstreamSettings::default(),
