A call to the platform ends with its failed answer

A chunked body without end was read for ever: the server of the new test got rid of 1 GiB, where it stops, and the connection was still open.

The body is taken from the call before it is read, so that dropping it closes the connection; the limit of 10 MiB, the library's own, is stated.

Before: answer_without_end_fails_and_closes_the_connection::short_chunks fails (1,073,758,140 bytes sent); the other five cases pass. After: all pass (69 MB sent for 10 MiB of body in chunks of one byte).

--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -17,6 +17,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use trillium_client::{Client, Conn, KnownHeaderName, Status};
+use trillium_http::ReceivedBody;
+use trillium_http::transport::BoxedTransport;
+
+/// Largest body of a response: the rows of a whole table.
+const MAX_BODY_BYTES: u64 = 10 << 20;
 
 /// The request body of the transaction route.
 #[derive(Debug, Serialize, Deserialize)]
@@ -108,14 +113,17 @@
     /// Sends a request and reads the complete response.
     async fn send(&self, conn: Conn) -> Result<PlatformResponse, TableError> {
         let exchange = async {
-            let mut conn = conn.into_future().await.map_err(classify_error)?;
-            let body = conn.response_body().read_bytes().await;
-            let body = body.map_err(|err| TableError::Unanswered(err.to_string()))?;
+            let conn = conn.into_future().await.map_err(classify_error)?;
             let status = conn.status().unwrap_or(Status::InternalServerError);
             let etag = conn
                 .response_headers()
                 .get_str(KnownHeaderName::Etag)
                 .map(str::to_owned);
+            // A call that is dropped reads its body to the end, to use the connection
+            // again; a body that is dropped closes the connection.
+            let body = ReceivedBody::<'static, BoxedTransport>::from(conn);
+            let body = body.with_max_len(MAX_BODY_BYTES).read_bytes().await;
+            let body = body.map_err(|err| TableError::Unanswered(err.to_string()))?;
             Ok(PlatformResponse { status, etag, body })
         };
         let response = with_timeout(self.settings.timeout, exchange).await?;
--- a/crates/store/tests/http_faults.rs
+++ b/crates/store/tests/http_faults.rs
@@ -6,6 +6,7 @@
 use ibiscove_store::{MemoryPlatform, Objects, Table, TableError, Transaction};
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::mpsc::Receiver;
 use std::time::Duration;
 use yare::parameterized;
 
@@ -151,3 +152,43 @@
         assert_eq!(kind_of(&client.fetch("a").await), ResultKind::Unanswered);
     });
 }
+
+/// Starts a server that answers the first request with `prefix` and then `filler` without
+/// end. Returns how many bytes it got rid of until the connection was closed.
+fn endless_server(prefix: &'static str, filler: &'static [u8]) -> (SocketAddr, Receiver<usize>) {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+    let addr = listener.local_addr().expect("a bound address");
+    let (tx, rx) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("the client connects");
+        let _ = stream.read(&mut [0; 4_096]);
+        let _ = stream.write_all(prefix.as_bytes());
+        let filler = filler.repeat((16 << 10) / filler.len());
+        let mut sent = 0;
+        while sent < 1 << 30 && stream.write_all(&filler).is_ok() {
+            sent += filler.len();
+        }
+        let _ = tx.send(sent);
+    });
+    (addr, rx)
+}
+
+/// Guards against a call that never ends, or takes all memory, because its answer has no
+/// end: it was read on after the call had failed.
+#[parameterized(
+    header_value = { "HTTP/1.1 200 OK\r\nX-Filler: ", b"aaaaaaaaaaaaaaaa" },
+    headers = { "HTTP/1.1 200 OK\r\n", b"X-Filler: aaaa\r\n" },
+    no_http = { "", b"................" },
+    body = { "HTTP/1.1 200 OK\r\n\r\n", b"aaaaaaaaaaaaaaaa" },
+    short_chunks = { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", b"1\r\na\r\n" },
+    chunk_size = { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", b"0000000000000000" },
+)]
+fn answer_without_end_fails_and_closes_the_connection(prefix: &'static str, filler: &'static [u8]) {
+    let (addr, closed) = endless_server(prefix, filler);
+    let read = smol::block_on(client(addr, 20_000).get("a"));
+    assert!(read.is_err(), "{read:?}");
+    let sent = closed.recv_timeout(Duration::from_secs(20));
+    // The largest body has 10 MiB, with six bytes sent for each of them in short chunks;
+    // the rest are the buffers of the two sockets.
+    assert!(sent.is_ok_and(|sent| sent < 80 << 20), "{sent:?}");
+}
