A refused connection is the end of a process only if none is open

The kernel closes all sockets of a process that ends, and all requests to an upstream pass its gate. So the process has ended if the address refuses and none of the gate's connections, nor a kept one for grants, is open, for which 20 ms are allowed. Else the release counts as unanswered: it is repeated, and the keys wait for the end of the grants.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -2,6 +2,7 @@
 
 use crate::body::Body;
 use crate::socket;
+use event_listener::Event;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HOST, HeaderValue};
@@ -101,6 +102,47 @@
 struct PoolState {
     settings: PoolSettings,
     idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
+    /// Number of open connections, idle or in use, to each address that has any.
+    open: Mutex<HashMap<SocketAddr, usize>>,
+    /// Notified when the last connection to an address has been closed.
+    closed: Event,
+}
+
+/// Counts a connection of a pool as open.
+struct OpenConnection {
+    pool: Arc<PoolState>,
+    addr: SocketAddr,
+}
+
+impl OpenConnection {
+    fn new(pool: &Arc<PoolState>, addr: SocketAddr) -> Self {
+        *pool.open().entry(addr).or_default() += 1;
+        Self {
+            pool: Arc::clone(pool),
+            addr,
+        }
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        let mut open = self.pool.open();
+        let Some(count) = open.get_mut(&self.addr) else {
+            return;
+        };
+        *count -= 1;
+        if *count == 0 {
+            open.remove(&self.addr);
+            drop(open);
+            self.pool.closed.notify(usize::MAX);
+        }
+    }
+}
+
+impl PoolState {
+    fn open(&self) -> MutexGuard<'_, HashMap<SocketAddr, usize>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 struct IdleConnection {
@@ -124,14 +166,17 @@
 const READY_TIMEOUT: Duration = Duration::from_millis(5);
 
 impl Connection {
-    /// Starts HTTP on a connected stream.
-    pub(crate) async fn start<S>(
+    /// Starts HTTP on a connected stream. The guard is dropped once the connection is
+    /// closed by either side.
+    pub(crate) async fn start<S, G>(
         addr: SocketAddr,
         stream: S,
         settings: &PoolSettings,
+        guard: G,
     ) -> Result<Self, SendError>
     where
         S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+        G: Send + 'static,
     {
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(settings.max_head_bytes)
@@ -142,6 +187,7 @@
                 cause: io::Error::other(cause),
             })?;
         let driver = smol::spawn(async move {
+            let _guard = guard;
             if let Err(err) = driver.await {
                 log::debug!("HTTP client: connection to {addr} closed: {err}");
             }
@@ -213,6 +259,8 @@
             inner: Arc::new(PoolState {
                 settings,
                 idle: Mutex::default(),
+                open: Mutex::default(),
+                closed: Event::new(),
             }),
         }
     }
@@ -261,6 +309,26 @@
         }
     }
 
+    /// Waits until no connection to an address is open, or for a timeout. Returns
+    /// whether none is: as long as one is open, the process at its other end lives, even
+    /// if the address refuses new connections.
+    pub async fn wait_until_closed(&self, addr: SocketAddr, timeout: Duration) -> bool {
+        let closed = async {
+            loop {
+                let closed = self.inner.closed.listen();
+                if !self.inner.open().contains_key(&addr) {
+                    return true;
+                }
+                closed.await;
+            }
+        };
+        let timeout = async {
+            smol::Timer::after(timeout).await;
+            false
+        };
+        closed.or(timeout).await
+    }
+
     /// Closes connections that can no longer be reused.
     pub fn prune(&self) {
         let now = Instant::now();
@@ -286,7 +354,8 @@
 
     async fn connect(&self, addr: SocketAddr) -> Result<Connection, SendError> {
         let stream = connect(addr, &self.inner.settings).await?;
-        Connection::start(addr, stream, &self.inner.settings).await
+        let guard = OpenConnection::new(&self.inner, addr);
+        Connection::start(addr, stream, &self.inner.settings, guard).await
     }
 
     async fn exchange(
--- a/crates/http/src/direct.rs
+++ b/crates/http/src/direct.rs
@@ -108,7 +108,7 @@
             clock: clock.clone(),
             state: Arc::clone(&write_state),
         };
-        let connection = Connection::start(addr, timed_stream, settings).await?;
+        let connection = Connection::start(addr, timed_stream, settings, ()).await?;
         Ok(Self {
             addr,
             clock,
--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -8,6 +8,7 @@
 mod exchange;
 mod load;
 
+pub use crashes::CLOSE_DELAY;
 pub use load::GateLoad;
 
 use crate::forward::RequestMetadata;
@@ -469,7 +470,7 @@
                     self.record_notice(metadata, &upstream, &exchange, started);
                     self.verify_response(metadata, exchange, permit).await
                 }
-                Err(err) => Err(self.send_refusal(metadata, &upstream, &err)),
+                Err(err) => Err(self.send_refusal(metadata, &upstream, &err).await),
             }
         };
         let limit = remaining + self.inner.settings.response_slack;
--- a/crates/proxy/src/gate/crashes.rs
+++ b/crates/proxy/src/gate/crashes.rs
@@ -14,6 +14,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+/// Time within which the end of a process shows on all of its connections.
+pub const CLOSE_DELAY: Duration = Duration::from_millis(20);
 /// Time for which a request that was lost waits for the upstream's address to refuse or
 /// accept a connection, which takes about a millisecond on the same machine.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(50);
@@ -133,7 +135,7 @@
                     && !self.inner.crash_watch().has_crashed(incarnation)
                     && self.is_address_refused().await
                 {
-                    self.record_process_ended(incarnation);
+                    self.record_process_ended(incarnation).await;
                 }
             }
         }
@@ -149,8 +151,16 @@
         self.inner.pool.is_refused(addr).or(timeout).await
     }
 
-    /// Records that the upstream's address refuses connections.
-    pub(super) fn record_process_ended(&self, upstream: &UpstreamIncarnation) {
+    /// Records that the upstream's address refuses connections. Its process has ended if
+    /// none is open either: one that stops gracefully refuses new connections first, and
+    /// its last requests run on.
+    pub(super) async fn record_process_ended(&self, upstream: &UpstreamIncarnation) {
+        let addr = self.inner.local_upstream.addr();
+        if !self.inner.pool.wait_until_closed(addr, CLOSE_DELAY).await {
+            log::info!(upstream = &*upstream.id;
+                "the upstream refuses connections while some are open: it still runs");
+            return;
+        }
         if !self
             .inner
             .local_upstream
--- a/crates/proxy/src/gate/exchange.rs
+++ b/crates/proxy/src/gate/exchange.rs
@@ -108,7 +108,7 @@
         Ok(response)
     }
 
-    pub(super) fn send_refusal(
+    pub(super) async fn send_refusal(
         &self,
         metadata: &RequestMetadata,
         upstream: &ObservedUpstream,
@@ -118,7 +118,8 @@
             upstream = &*upstream.announcement.incarnation.id;
             "the upstream gave no answer: {err}");
         if err.is_connection_refused() {
-            self.record_process_ended(&upstream.announcement.incarnation);
+            self.record_process_ended(&upstream.announcement.incarnation)
+                .await;
         }
         match err.is_unsent() {
             true => Refusal::not_run(Reason::UpstreamUnreachable),
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -7,6 +7,7 @@
 mod catch_up;
 pub mod crash_news;
 mod join;
+mod live_grantee;
 mod maintenance;
 pub mod map_news;
 mod metrics_page;
@@ -17,6 +18,7 @@
 
 pub use settings::{RouterAddrs, RouterSettings};
 
+use crate::live_grantee::LiveGrantee;
 use bytes::Bytes;
 use event_listener::Event;
 use ibiscove_http::body::BodyBudget;
@@ -73,7 +75,7 @@
     }
 }
 
-pub(crate) type Controller<T, G, C> = RangeController<T, G, C>;
+pub(crate) type Controller<T, G, C> = RangeController<T, LiveGrantee<G>, C>;
 
 struct Inner<T, G, C> {
     settings: RouterSettings,
@@ -93,6 +95,8 @@
     range_controller: OnceLock<Controller<T, G, C>>,
     /// Connections to other nodes.
     peers: Pool,
+    /// The gate's connections to the local upstream.
+    upstream_pool: Pool,
     /// Memory for the bodies of requests of callers and other nodes.
     body_budget: BodyBudget,
     callers: Server,
@@ -144,7 +148,7 @@
             clock.clone(),
             local_upstream.clone(),
             suspects.clone(),
-            upstream_pool,
+            upstream_pool.clone(),
             response_budget.clone(),
         );
         let peer_pool = Pool::new(PoolSettings {
@@ -189,6 +193,7 @@
                 entry,
                 range_controller: OnceLock::new(),
                 peers: peer_pool,
+                upstream_pool,
                 body_budget,
                 callers: Server::default(),
                 peer_server: Server::default(),
@@ -401,7 +406,11 @@
             node: Arc::clone(&inner.settings.node),
             incarnation: inner.incarnation,
             table: inner.table.clone(),
-            grantee: inner.grantee.clone(),
+            grantee: LiveGrantee {
+                grantee: inner.grantee.clone(),
+                pool: inner.upstream_pool.clone(),
+                addr: inner.settings.addrs.upstream,
+            },
             clock: inner.clock.clone(),
             members: inner.members.clone(),
             maps: inner.maps.clone(),
