The configuration is followed over new connections when open ones go silent

The call that waits for changes lasted up to 26.5 s and was the only one that would have noticed; the sockets' keep-alive probes show nothing where a proxy acknowledges them.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -329,6 +329,11 @@
         closed.or(timeout).await
     }
 
+    /// Closes the idle connections to an address.
+    pub fn close_idle(&self, addr: SocketAddr) {
+        self.lock().remove(&addr);
+    }
+
     /// Closes connections that can no longer be reused.
     pub fn prune(&self) {
         let now = Instant::now();
