The planned stop of an upstream in a test precedes its end

The test told the node of the stop 10 ms after it had sent the deadly request, and the upstream restarted 430 ms after it began to run it. On a busy machine the notice came after the restart; it names only the id, so it withdrew the next incarnation, which was never served.

The upstream now holds its crash until the notice has been given, and the test checks that the request has reached it: notice, crash and restart keep their order however slow the machine is. All earlier assertions stand.

--- a/crates/router/tests/crashing_requests.rs
+++ b/crates/router/tests/crashing_requests.rs
@@ -247,16 +247,25 @@
         assert!(router.apply_config("7".into()));
         let pool = Pool::new(PoolSettings::default());
         wait_until_served(&pool, entry, "/signs/1").await;
-        for _ in 0..MAX_CRASHES + 1 {
+        let runs = || upstream.deadly.lock().expect("no holder panics").len();
+        for crash in 0..MAX_CRASHES + 1 {
+            // The notice comes while the request runs, before the upstream ends. One that
+            // came after the restart would withdraw the next incarnation, since it names
+            // only the id.
+            upstream.is_crash_held.store(true, Ordering::SeqCst);
             let sending = smol::spawn({
                 let pool = pool.clone();
                 async move { send_request(&pool, entry, "/signs/deadly").await }
             });
-            smol::Timer::after(Duration::from_millis(10)).await;
+            while runs() == crash && !sending.is_finished() {
+                smol::Timer::after(Duration::from_millis(1)).await;
+            }
+            assert_eq!(runs(), crash + 1, "the request has reached the upstream");
             router.withdraw_upstream("upstream-47");
+            upstream.is_crash_held.store(false, Ordering::SeqCst);
             let (_, body) = sending.await;
             assert!(!body.contains("quarantined"), "{body}");
-            while upstream.born_ms.load(Ordering::SeqCst) == 0 {
+            while upstream.born_ms.load(Ordering::SeqCst) < crash as i64 + 2 {
                 smol::Timer::after(Duration::from_millis(20)).await;
             }
             wait_until_served(&pool, entry, "/signs/1").await;
--- a/crates/router/tests/support/raw.rs
+++ b/crates/router/tests/support/raw.rs
@@ -4,7 +4,7 @@
 use smol::net::{TcpListener, TcpStream};
 use std::future::Future;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicI64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicI64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -80,6 +80,8 @@
     pub born_ms: Arc<AtomicI64>,
     /// When it began to run each deadly request.
     pub deadly: Arc<Mutex<Vec<Instant>>>,
+    /// Whether it runs a deadly request without crashing yet.
+    pub is_crash_held: Arc<AtomicBool>,
 }
 
 impl CrashingUpstream {
@@ -92,6 +94,7 @@
             addr: listener.local_addr().expect("the listener is bound"),
             born_ms: Arc::new(AtomicI64::new(1)),
             deadly,
+            is_crash_held: Arc::default(),
         };
         smol::spawn(upstream.clone().live_and_crash(listener)).detach();
         upstream
@@ -131,6 +134,9 @@
             }
             smol::Timer::after(WORK).await;
             if is_deadly {
+                while self.is_crash_held.load(Ordering::SeqCst) {
+                    smol::Timer::after(WORK / 10).await;
+                }
                 let _ = crash.try_send(());
                 return smol::future::pending().await;
             }
