The demo waits until every node knows the owners that run

After it loses a node the demo waits until every slot has an owner in every node's map, then repeats a payment. A map that still names the lost owner counted as complete, so on a busy machine the repeat could enter at a node that forwarded it to the lost one and refused it: not-run, peer-unreachable. The test expects unknown: repeat-unknown and failed once.

The demo now waits for owners whose incarnation is that of a running node. Found by reading; the failure itself was not shown again.

--- a/src/demo/mesh.rs
+++ b/src/demo/mesh.rs
@@ -6,7 +6,7 @@
 use ibiscove_node::{Node, NodeSettings};
 use ibiscove_standin::{Upstream, UpstreamSettings};
 use ibiscove_store::MemoryPlatform;
-use ibiscove_types::{Clock, ClusterMap, ServiceKind, SystemClock};
+use ibiscove_types::{Clock, ClusterMap, Incarnation, ServiceKind, SystemClock};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -55,10 +55,14 @@
         })
     }
 
-    /// Waits until every slot has an owner in every node's map.
+    /// Waits until every slot has a running owner in every node's map. A node that has
+    /// not heard of a loss yet still names the lost owner.
     pub(super) async fn wait_for_owners(&self, clock: &impl Clock) -> Result<(), CliError> {
         let started = clock.now();
-        while !self.pairs.iter().all(|pair| is_complete(&pair.node.map())) {
+        let rows = self.pairs.iter().map(|pair| pair.node.row().incarnation);
+        let running: Vec<Incarnation> = rows.collect();
+        let has_owners = |pair: &Pair| is_complete(&pair.node.map(), &running);
+        while !self.pairs.iter().all(has_owners) {
             if clock.now().saturating_duration_since(started) > OWNERSHIP_TIMEOUT {
                 return Err(CliError::failed("some slots have no owner"));
             }
@@ -176,8 +180,8 @@
     }
 }
 
-/// Whether every service has its members and every slot an owner.
-fn is_complete(map: &ClusterMap) -> bool {
+/// Whether every service has its members and every slot an owner that runs.
+fn is_complete(map: &ClusterMap, running: &[Incarnation]) -> bool {
     SERVICES.iter().all(|(name, count)| {
         let Some(service) = map.service(name) else {
             return false;
@@ -186,7 +190,10 @@
             ServiceKind::Shared => map.members(name).len() == *count,
             ServiceKind::Divided => {
                 let mut slots = 0..service.row.slot_count;
-                slots.all(|slot| map.owner(name, slot).is_some())
+                slots.all(|slot| {
+                    let owner = map.owner(name, slot);
+                    owner.is_some_and(|owner| running.contains(&owner.incarnation))
+                })
             }
         }
     })
