Owners that write to the range map at once give way to one another

Cause: an update that lost was repeated at once, one section of the map after the other in the same order on all nodes, so that they met in each section.

An update that loses now waits for a random part of a window that doubles up to one slot for each live owner, reads the rows and writes all its sections in one transaction.

--- a/crates/ranges/src/controller.rs
+++ b/crates/ranges/src/controller.rs
@@ -9,6 +9,7 @@
 mod leasing;
 mod moving;
 
+use crate::contention::backoff_window;
 use crate::grants::reports::{HoldList, HoldReport};
 use crate::grants::{GrantDelivery, GrantSettings, Grantee, Grants, max_grant_duration};
 use crate::lease::{Lease, LeaseSettings};
@@ -54,7 +55,10 @@
 /// accepts.
 const MAX_CONCURRENT_RELEASES: usize = 10;
 /// Failed attempts at a map update before it is left to the next poll.
-const MAX_UPDATE_FAILURES: usize = 6;
+const MAX_UPDATE_FAILURES: usize = 12;
+/// Failed attempts at an update of several sections of the map in one transaction
+/// before they are written one by one.
+const WHOLE_UPDATE_FAILURES: usize = 8;
 
 /// State of a key at the local upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -391,6 +395,19 @@
         eligible_members
     }
 
+    /// Waits before an update is repeated that has lost against others `conflicts`
+    /// times.
+    async fn wait_after_conflict(&self, conflicts: usize) {
+        metrics::counter!("ibiscove_map_update_backoffs_total").increment(1);
+        let now = self.inner.deps.clock.now();
+        let mut owners = 1;
+        let members = &self.inner.deps.members;
+        members.for_each_alive_of(&self.inner.deps.service, now, |_| owners += 1);
+        let window = backoff_window(conflicts, owners);
+        let delay = window.mul_f64(fastrand::f64());
+        self.inner.deps.clock.sleep(delay).await;
+    }
+
     async fn wait_before_retry(&self) {
         let delay = RETRY_DELAY.mul_f64(0.5 + fastrand::f64() / 2.0);
         self.inner.deps.clock.sleep(delay).await;
@@ -489,14 +506,15 @@
             }
             let next = map.with_transfers(&transfers);
             let mut changed = changed_sections(&map, &next);
-            if failures > 0 {
-                changed = vec![changed.swap_remove(failures % changed.len())];
+            let is_whole = failures < WHOLE_UPDATE_FAILURES;
+            if !is_whole {
+                changed = vec![changed.swap_remove(fastrand::usize(..changed.len()))];
             }
             let base = self.condition_on_own_lease(era, is_lease_row_known).await?;
             let err = match self.commit_sections(era, &changed, base).await {
                 Ok(Commit::Done(_)) => {
                     self.record_transfers(reason, &changed, &transfers);
-                    if failures == 0 {
+                    if is_whole {
                         return Ok(());
                     }
                     continue;
@@ -507,7 +525,10 @@
                     is_lease_row_known = false;
                     None
                 }
-                Ok(Commit::Conflict(key)) => self.reread_after_conflict(&key).await.err(),
+                Ok(Commit::Conflict(key)) => {
+                    self.wait_after_conflict(failures + 1).await;
+                    self.reread_after_conflict(&key, changed.len()).await.err()
+                }
                 Err(err) => {
                     log_unanswered_change(service, reason, &transfers, &err);
                     self.wait_before_retry().await;
@@ -567,14 +588,14 @@
         metrics::counter!("ibiscove_range_transfers_total").increment(count);
     }
 
-    /// Reads the row that another node has changed; all rows, unless it is a
-    /// section of the map.
-    async fn reread_after_conflict(&self, key: &str) -> Result<(), TableError> {
+    /// Reads the row that another node has changed; all rows, unless it is the only
+    /// section of the map that is to be written.
+    async fn reread_after_conflict(&self, key: &str, sections: usize) -> Result<(), TableError> {
         metrics::counter!("ibiscove_map_conflicts_total").increment(1);
         let era = self.known_era().await?;
         match rows::section_of_key(&self.inner.deps.service, era, key) {
-            Some(section) => self.read_section(section).await,
-            None => self.read_rows().await.map(|_| ()),
+            Some(section) if sections == 1 => self.read_section(section).await,
+            _ => self.read_rows().await.map(|_| ()),
         }
     }
 }
--- a/crates/ranges/src/controller/coordinate.rs
+++ b/crates/ranges/src/controller/coordinate.rs
@@ -147,7 +147,7 @@
                 self.record_transfers(TransferReason::NoLiveOwner, &changed, &transfers)
             }
             // The next poll plans anew.
-            Commit::Conflict(key) => self.reread_after_conflict(&key).await?,
+            Commit::Conflict(key) => self.reread_after_conflict(&key, changed.len()).await?,
         }
         Ok(())
     }
@@ -179,7 +179,7 @@
                 Ok(true)
             }
             Commit::Conflict(key) => {
-                self.reread_after_conflict(&key).await?;
+                self.reread_after_conflict(&key, changed.len()).await?;
                 Ok(false)
             }
         }
--- a/crates/ranges/src/lib.rs
+++ b/crates/ranges/src/lib.rs
@@ -14,6 +14,7 @@
 //! decisions and do no I/O; [`controller`] carries the decisions out.
 
 pub mod balance;
+pub mod contention;
 pub mod controller;
 pub mod grants;
 pub mod lease;
--- a/crates/ranges/tests/explorer/main.rs
+++ b/crates/ranges/tests/explorer/main.rs
@@ -5,6 +5,7 @@
 //! after the last fault.
 
 mod cluster;
+mod power_loss;
 mod regressions;
 mod reports;
 mod schedules;
--- a/crates/ranges/tests/explorer/table.rs
+++ b/crates/ranges/tests/explorer/table.rs
@@ -6,6 +6,7 @@
 use ibiscove_store::{
     Commit, Condition, MemoryPlatform, PlatformCopy, RawRow, Table, TableError, Transaction, Write,
 };
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -38,6 +39,8 @@
     node: NodeIndex,
     /// The newest era that a process has seen.
     tracker: EraTracker,
+    /// Calls of all nodes.
+    calls: Arc<AtomicUsize>,
 }
 
 /// The rows, and a copy of them after each transaction.
@@ -82,9 +85,15 @@
             faults: Arc::new(Mutex::new(vec![TableFaults::default(); nodes])),
             node: 0,
             tracker: EraTracker::default(),
+            calls: Arc::default(),
         }
     }
 
+    /// Returns how many calls all nodes have made.
+    pub fn call_count(&self) -> usize {
+        self.calls.load(Ordering::Relaxed)
+    }
+
     /// Returns the same table as seen by a process of another node.
     pub fn seen_by(&self, node: NodeIndex) -> Self {
         Self {
@@ -132,6 +141,7 @@
     }
 
     async fn start_call(&self) -> Result<TableFaults, TableError> {
+        self.calls.fetch_add(1, Ordering::Relaxed);
         self.sim.sleep(Duration::from_millis(4)).await;
         let faults = self.faults.lock().expect("no holder panics")[self.node];
         match faults.is_unavailable {
