HTTP server: pipelined reads run side by side

Cause: the server read a request only when the answer before it was written, so that the requests of a pipeline waited for each other. Change: a reader in front of hyper finds the heads of further requests and starts those without a body whose route allows to repeat them; hyper still parses and answers each in its turn, compared with what was started. Bounded in number and bytes; off by default, on for callers' listeners of nodes.

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -163,7 +163,7 @@
 }
 
 impl BodyReservation {
-    fn try_grow_to(&mut self, bytes: usize) -> bool {
+    pub(crate) fn try_grow_to(&mut self, bytes: usize) -> bool {
         let more = bytes.saturating_sub(self.bytes);
         let fits = self.budget.try_take(more);
         if fits {
@@ -260,7 +260,7 @@
 /// bytes of a body with a stated length are reserved before any is read, so that
 /// one that does not fit fails at once.
 pub async fn read_within_budget(
-    mut body: Incoming,
+    mut body: impl HttpBody<Data = Bytes, Error = hyper::Error> + Unpin,
     limit: usize,
     budget: &BodyBudget,
 ) -> Result<(Bytes, BodyReservation), ReadError> {
@@ -324,7 +324,9 @@
 }
 
 /// Returns the next bytes of a body; none at its end. Trailers are not forwarded.
-async fn next_data(body: &mut Incoming) -> Result<Option<Bytes>, hyper::Error> {
+async fn next_data(
+    body: &mut (impl HttpBody<Data = Bytes, Error = hyper::Error> + Unpin),
+) -> Result<Option<Bytes>, hyper::Error> {
     while let Some(frame) = body.frame().await {
         if let Ok(data) = frame?.into_data() {
             return Ok(Some(data));
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -17,10 +17,12 @@
 pub mod client;
 pub mod direct;
 pub mod headers;
+pub mod pipeline;
 pub mod server;
 pub mod socket;
 
 pub use body::Body;
 pub use client::{Exchange, Pool, PoolSettings, SendError};
 pub use direct::DirectConnection;
+pub use pipeline::{PipelineSettings, RequestBody};
 pub use server::{Server, ServerSettings};
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,19 +1,28 @@
 //! HTTP server with cancellation and graceful shutdown.
 
+use crate::body::BodyBudget;
+use crate::pipeline::look_ahead::AnswerGuard;
+use crate::pipeline::{
+    Handler, InTurn, LookAhead, Next, PipelineSettings, Pipelined, Progress, Queue, RequestBody,
+    finish_head, framing,
+};
 use crate::socket;
 use bytes::Bytes;
 use event_listener::Event;
 use http_body::Body as HttpBody;
 use hyper::body::Incoming;
+use hyper::http::request::Parts;
 use hyper::rt::{Sleep, Timer};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use smol::future::FutureExt;
+use smol::io::AsyncReadExt;
 use smol::net::{TcpListener, TcpStream};
 use smol_hyper::rt::FuturesIo;
 use std::convert::Infallible;
 use std::future::Future;
+use std::net::Shutdown;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -23,6 +32,10 @@
 /// Delay after a failed accept, which mostly means that no file descriptor is
 /// free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Time for which a closed connection is read from: a round trip or two.
+const MAX_LINGER: Duration = Duration::from_millis(500);
+/// Bytes that are read from it at most.
+const MAX_LINGER_BYTES: usize = 256 << 10;
 
 /// Limits on request heads and on the time that a client may take.
 #[derive(Clone, Copy, Debug)]
@@ -33,6 +46,8 @@
     /// Timeout of receiving a head, including the idle time before it. Longer
     /// than common idle timeouts of clients, so that they close first.
     pub head_timeout: Duration,
+    /// Limits on pipelined requests.
+    pub pipeline: PipelineSettings,
 }
 
 impl Default for ServerSettings {
@@ -40,6 +55,7 @@
         Self {
             max_head_bytes: 64 << 10,
             head_timeout: Duration::from_secs(75),
+            pipeline: PipelineSettings::default(),
         }
     }
 }
@@ -51,7 +67,7 @@
 }
 
 #[derive(Default)]
-struct ServerState {
+pub(crate) struct ServerState {
     is_draining: AtomicBool,
     drain_started: Event,
     in_flight: AtomicUsize,
@@ -68,11 +84,47 @@
         B: HttpBody<Data = Bytes> + Send + Unpin + 'static,
         B::Error: std::error::Error + Send + Sync + 'static,
     {
+        // No request of this handler may start early, so none is read ahead.
+        let settings = ServerSettings {
+            pipeline: PipelineSettings::default(),
+            ..settings
+        };
+        self.accept(listener, settings, InTurn(handle)).await;
+    }
+
+    /// The same for clients that pipeline requests. Those without a body that
+    /// `may_start` allows are served while the ones before them are being answered,
+    /// within the limits of [`ServerSettings::pipeline`]; only requests that may run
+    /// more than once may be allowed.
+    pub async fn run_pipelined<H, M, F, B>(
+        self,
+        listener: TcpListener,
+        settings: ServerSettings,
+        may_start: M,
+        handle: H,
+    ) where
+        H: Fn(Request<RequestBody>) -> F + Clone + Send + Sync + 'static,
+        M: Fn(&Parts) -> bool + Clone + Send + Sync + 'static,
+        F: Future<Output = Response<B>> + Send + 'static,
+        B: HttpBody<Data = Bytes> + Send + Unpin + 'static,
+        B::Error: std::error::Error + Send + Sync + 'static,
+    {
+        let handler = Pipelined { handle, may_start };
+        self.accept(listener, settings, handler).await;
+    }
+
+    async fn accept<H>(self, listener: TcpListener, settings: ServerSettings, handler: H)
+    where
+        H: Handler,
+        <H::Body as HttpBody>::Error: std::error::Error + Send + Sync + 'static,
+    {
+        let budget = BodyBudget::new(settings.pipeline.max_total_bytes);
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
                     let shared = Arc::clone(&self.shared);
-                    smol::spawn(serve_connection(shared, stream, settings, handle.clone()))
+                    let (budget, handler) = (budget.clone(), handler.clone());
+                    smol::spawn(serve_connection(shared, stream, settings, budget, handler))
                         .detach();
                 }
                 Err(err) => {
@@ -97,7 +149,7 @@
 }
 
 /// Counts a request as in flight until its response body has been sent.
-struct InFlightGuard(Arc<ServerState>);
+pub(crate) struct InFlightGuard(Arc<ServerState>);
 
 impl InFlightGuard {
     fn new(shared: &Arc<ServerState>) -> Self {
@@ -113,12 +165,14 @@
 }
 
 /// A response body that counts its request as in flight until it has been sent.
-struct CountedBody<B> {
-    body: B,
+struct AnswerBody<B> {
+    /// None if the server itself refuses the request.
+    body: Option<B>,
     _in_flight: InFlightGuard,
+    _answer: AnswerGuard,
 }
 
-impl<B: HttpBody + Unpin> HttpBody for CountedBody<B> {
+impl<B: HttpBody + Unpin> HttpBody for AnswerBody<B> {
     type Data = B::Data;
     type Error = B::Error;
 
@@ -126,52 +180,134 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<http_body::Frame<B::Data>, B::Error>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+        match &mut self.body {
+            Some(body) => Pin::new(body).poll_frame(cx),
+            None => Poll::Ready(None),
+        }
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        self.body.as_ref().is_none_or(B::is_end_stream)
     }
 
     fn size_hint(&self) -> http_body::SizeHint {
-        self.body.size_hint()
+        let none = http_body::SizeHint::with_exact(0);
+        self.body.as_ref().map_or(none, B::size_hint)
+    }
+}
+
+/// One connection of a server.
+struct Connection<H: Handler> {
+    shared: Arc<ServerState>,
+    handler: H,
+    queue: Queue<H::Body>,
+    progress: Arc<Progress>,
+}
+
+impl<H: Handler> Connection<H> {
+    /// Serves a request that hyper has read, or awaits the answer if it was started
+    /// early.
+    fn serve(
+        self: &Arc<Self>,
+        req: Request<Incoming>,
+    ) -> impl Future<Output = Response<AnswerBody<H::Body>>> + use<H> {
+        let own = Arc::clone(self);
+        let answer = AnswerGuard::new(&self.progress);
+        let next = match self.queue.take(&req) {
+            Next::NotStarted => {
+                let in_flight = InFlightGuard::new(&self.shared);
+                Ok((EitherAnswer::InTurn(self.handler.handle(req)), in_flight))
+            }
+            Next::Started(task, in_flight) => Ok((EitherAnswer::Early(task), in_flight)),
+            Next::Mismatch => Err(InFlightGuard::new(&self.shared)),
+        };
+        async move {
+            let (response, in_flight) = match next {
+                Ok((EitherAnswer::InTurn(answer), in_flight)) => {
+                    (answer.await.map(Some), in_flight)
+                }
+                Ok((EitherAnswer::Early(task), in_flight)) => (task.await.map(Some), in_flight),
+                Err(in_flight) => {
+                    let mut refusal = Response::new(None);
+                    *refusal.status_mut() = StatusCode::BAD_REQUEST;
+                    (refusal, in_flight)
+                }
+            };
+            let mut response = response.map(|body| AnswerBody {
+                body,
+                _in_flight: in_flight,
+                _answer: answer,
+            });
+            let is_draining = own.shared.is_draining.load(Ordering::Acquire);
+            finish_head(&own.queue, is_draining, response.headers_mut());
+            response
+        }
     }
+
+    /// Starts a request before its turn if that is allowed.
+    fn start_early(&self, head: &[u8]) -> bool {
+        if self.shared.is_draining.load(Ordering::Acquire) || self.queue.is_closing() {
+            return false;
+        }
+        let Some(head) = framing::parse_head(head) else {
+            return false;
+        };
+        let in_flight = InFlightGuard::new(&self.shared);
+        let Some(answer) = self.handler.start_early(&head) else {
+            return false;
+        };
+        self.queue.start(head, answer, in_flight);
+        true
+    }
+}
+
+enum EitherAnswer<F, T> {
+    InTurn(F),
+    Early(T),
 }
 
-async fn serve_connection<H, F, B>(
+async fn serve_connection<H>(
     shared: Arc<ServerState>,
     stream: TcpStream,
     settings: ServerSettings,
-    handle: H,
+    budget: BodyBudget,
+    handler: H,
 ) where
-    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
-    F: Future<Output = Response<B>> + Send + 'static,
-    B: HttpBody<Data = Bytes> + Send + Unpin + 'static,
-    B::Error: std::error::Error + Send + Sync + 'static,
+    H: Handler,
+    <H::Body as HttpBody>::Error: std::error::Error + Send + Sync + 'static,
 {
     if let Err(err) = socket::configure(&stream) {
         log::debug!("HTTP server: connection closed, its options cannot be set: {err}");
         return;
     }
-    let counted = Arc::clone(&shared);
+    let own = Arc::new(Connection {
+        shared: Arc::clone(&shared),
+        handler,
+        queue: Queue::default(),
+        progress: Arc::default(),
+    });
+    let starter = Arc::clone(&own);
+    let io = LookAhead::new(
+        stream.clone(),
+        settings.pipeline,
+        settings.max_head_bytes,
+        &budget,
+        Arc::clone(&own.progress),
+        move |head: &[u8]| starter.start_early(head),
+    );
+    let served = Arc::clone(&own);
     let service = service_fn(move |req| {
-        let in_flight = InFlightGuard::new(&counted);
-        let response = handle(req);
-        async move {
-            let response = response.await;
-            Ok::<_, Infallible>(response.map(|body| CountedBody {
-                body,
-                _in_flight: in_flight,
-            }))
-        }
+        let response = served.serve(req);
+        async move { Ok::<_, Infallible>(response.await) }
     });
     let drained = shared.drain_started.listen();
     let connection = http1::Builder::new()
         .timer(SmolTimer)
         .header_read_timeout(settings.head_timeout)
         .max_buf_size(settings.max_head_bytes)
-        .serve_connection(FuturesIo::new(stream), service);
+        .serve_connection(FuturesIo::new(io), service);
     let mut connection = std::pin::pin!(connection);
+    let mut has_ended = false;
     if !shared.is_draining.load(Ordering::Acquire) {
         let ended = async {
             let _ = connection.as_mut().await;
@@ -181,14 +317,43 @@
             drained.await;
             false
         };
-        if ended.or(draining).await {
-            return;
+        has_ended = ended.or(draining).await;
+    }
+    if !has_ended {
+        // With requests that were started early, the response to the last of them
+        // closes the connection.
+        if !own.queue.has_early() {
+            connection.as_mut().graceful_shutdown();
         }
+        // Errors here are caused by the client: it closed the connection or sent a
+        // malformed request.
+        let _ = connection.await;
     }
-    connection.as_mut().graceful_shutdown();
-    // Errors here are caused by the client: it closed the connection or sent a
-    // malformed request.
-    let _ = connection.await;
+    own.queue.cancel();
+    if settings.pipeline.max_requests > 0 && !own.progress.has_client_left() {
+        linger(stream).await;
+    }
+}
+
+/// Discards what a client still sends on a connection that this side has closed, for a
+/// short time. Closing the socket at once would reset the connection, and could take
+/// the last response from a client that has sent further requests.
+async fn linger(mut stream: TcpStream) {
+    let _ = stream.shutdown(Shutdown::Write);
+    let discard = async {
+        let mut buf = [0; 1 << 10];
+        let mut left = MAX_LINGER_BYTES;
+        while let Ok(len @ 1..) = stream.read(&mut buf).await {
+            left = left.saturating_sub(len);
+            if left == 0 {
+                break;
+            }
+        }
+    };
+    let timeout = async {
+        smol::Timer::after(MAX_LINGER).await;
+    };
+    discard.or(timeout).await;
 }
 
 /// Implementation of hyper's timers on smol's reactor.
--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -14,8 +14,9 @@
 use crate::suspects::Suspects;
 use crate::upstream_notice::KnownNotices;
 use crate::upstream_selection::{RoundTripEstimates, UpstreamSelector};
+use bytes::Bytes;
 use hyper::Request;
-use hyper::body::Incoming;
+use hyper::body::Body as HttpBody;
 use ibiscove_http::Pool;
 use ibiscove_http::body::{BodyBudget, BodyReservation, read_within_budget};
 use ibiscove_mesh::Members;
@@ -181,8 +182,23 @@
         self.inner.deps.pool.prune();
     }
 
+    /// Returns whether a request without a body may be served before the requests
+    /// ahead of it on its connection are answered: its route allows to run it more than
+    /// once.
+    pub fn may_start_early(&self, head: &hyper::http::request::Parts) -> bool {
+        let Some(table) = self.deps().config.get() else {
+            return false;
+        };
+        let host = plan::host(head);
+        let route = host.and_then(|host| table.find(host, head.uri.path()));
+        route.is_some_and(|route| route.kind.is_idempotent())
+    }
+
     /// Serves a request. Returns the upstream's response or a refusal.
-    pub async fn handle(&self, req: Request<Incoming>) -> RelayedResponse<Permit<K, C>> {
+    pub async fn handle<R>(&self, req: Request<R>) -> RelayedResponse<Permit<K, C>>
+    where
+        R: HttpBody<Data = Bytes, Error = hyper::Error> + Unpin,
+    {
         let arrived = self.deps().clock.now();
         let (head, body) = req.into_parts();
         let result = match self.plan(&head, arrived) {
@@ -229,7 +245,7 @@
     async fn read_and_serve(
         &self,
         mut plan: RequestPlan,
-        body: Incoming,
+        body: impl HttpBody<Data = Bytes, Error = hyper::Error> + Unpin,
     ) -> Result<RelayedResponse<Permit<K, C>>, Refusal> {
         let reading = self.read_body(body, plan.max_body_bytes, plan.metadata.deadline);
         let (body, _reservation) = reading.await?;
@@ -239,10 +255,10 @@
 
     async fn read_body(
         &self,
-        body: Incoming,
+        body: impl HttpBody<Data = Bytes, Error = hyper::Error> + Unpin,
         limit: usize,
         deadline: Instant,
-    ) -> Result<(bytes::Bytes, BodyReservation), Refusal> {
+    ) -> Result<(Bytes, BodyReservation), Refusal> {
         let remaining = deadline.saturating_duration_since(self.deps().clock.now());
         let timeout = async {
             self.deps().clock.sleep(remaining).await;
--- a/crates/proxy/src/entry/plan.rs
+++ b/crates/proxy/src/entry/plan.rs
@@ -45,11 +45,7 @@
         let table = deps.config.get().ok_or(unconfigured)?;
         let path_and_query = head.uri.path_and_query().cloned();
         let path_and_query = path_and_query.unwrap_or_else(|| PathAndQuery::from_static("/"));
-        let host = head
-            .uri
-            .host()
-            .or_else(|| headers::text(&head.headers, &HOST));
-        let (host, route) = host
+        let (host, route) = host(head)
             .and_then(|host| Some((host, table.find(host, path_and_query.path())?)))
             .ok_or(Refusal::not_run(Reason::NoRoute))?;
         let request_id: Arc<str> = match headers::text(&head.headers, &names.request_id) {
@@ -109,6 +105,12 @@
     }
 }
 
+/// Returns the host that a request names; its route depends on it.
+pub(super) fn host(head: &hyper::http::request::Parts) -> Option<&str> {
+    let host = head.uri.host();
+    host.or_else(|| headers::text(&head.headers, &HOST))
+}
+
 impl RequestPlan {
     /// Adds the body, by which the request's fingerprint is complete.
     pub(super) fn set_body(&mut self, body: Bytes) {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -216,15 +216,20 @@
     fn start_tasks(&self, callers: TcpListener, peers: TcpListener, mesh: UdpSocket) {
         let inner = &self.inner;
         let entry = inner.entry.clone();
-        let serve_callers = inner
-            .callers
-            .clone()
-            .run(callers, ServerSettings::default(), {
-                move |req| {
-                    let entry = entry.clone();
-                    async move { entry.handle(req).await }
-                }
-            });
+        let early_entry = inner.entry.clone();
+        let caller_settings = ServerSettings {
+            pipeline: inner.settings.pipeline,
+            ..ServerSettings::default()
+        };
+        let serve_callers = inner.callers.clone().run_pipelined(
+            callers,
+            caller_settings,
+            move |head| early_entry.may_start_early(head),
+            move |req| {
+                let entry = entry.clone();
+                async move { entry.handle(req).await }
+            },
+        );
         let peer_handler = Arc::new(PeerServer {
             gate: inner.gate.clone(),
             config: inner.config.clone(),
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a node.
 
+use ibiscove_http::PipelineSettings;
 use ibiscove_proxy::{EntrySettings, GateSettings, LocalUpstreamSettings};
 use ibiscove_ranges::ControllerSettings;
 use ibiscove_types::{DataCentre, NodeName, ServiceName};
@@ -46,6 +47,9 @@
     /// response is read before it is relayed, so that one that breaks off there can be
     /// replaced; without memory for it the response is streamed as it comes.
     pub max_response_memory: usize,
+    /// Limits on the requests that callers send before the ones before them are
+    /// answered. None but idempotent ones start early.
+    pub pipeline: PipelineSettings,
     /// Settings of the entry.
     pub entry: EntrySettings,
     /// Settings of the gate.
@@ -75,6 +79,10 @@
             max_shutdown_duration: Duration::from_millis(5_400),
             max_body_memory: 32 << 20,
             max_response_memory: 16 << 20,
+            pipeline: PipelineSettings {
+                max_requests: 16,
+                ..PipelineSettings::default()
+            },
             entry: EntrySettings::default(),
             gate: GateSettings::default(),
             local_upstream: LocalUpstreamSettings::default(),
