--- a/crates/http/src/pipeline/look_ahead.rs
+++ b/crates/http/src/pipeline/look_ahead.rs
@@ -33,6 +33,7 @@
         self.has_client_left.load(Ordering::Acquire)
     }
 
+    /// Has the task woken when the response is sent.
     fn wait(&self, cx: &Context<'_>) {
         let mut waiting = self.lock();
         match &mut *waiting {
@@ -92,6 +93,8 @@
     searched: usize,
     /// Whether the request behind them has to wait for its turn.
     is_blocked: bool,
+    /// Whether a limit ended the look-ahead of the current request.
+    is_at_limit: bool,
 }
 
 impl<S: FnMut(&[u8]) -> bool> LookAhead<S> {
@@ -118,6 +121,7 @@
             started_bytes: 0,
             searched: 0,
             is_blocked: false,
+            is_at_limit: false,
         }
     }
 
@@ -241,6 +245,7 @@
 
     fn begin(&mut self, rest: u64) {
         self.rest = rest;
+        self.is_at_limit = false;
         self.progress.is_answering.store(true, Ordering::Release);
     }
 
@@ -250,14 +255,12 @@
         loop {
             let kept = self.buffered.len();
             if kept > 0 && !self.reservation.try_grow_to(kept) {
-                self.progress.wait(cx);
-                return Poll::Pending;
+                return self.wait_for_answer(cx, "node-memory");
             }
             self.start_early();
             let room = self.settings.max_bytes.saturating_sub(kept);
             if room == 0 {
-                self.progress.wait(cx);
-                return Poll::Pending;
+                return self.wait_for_answer(cx, "connection-memory");
             }
             let mut chunk = [0; CHUNK_BYTES];
             let read = self.poll_socket(cx, &mut chunk[..room.min(CHUNK_BYTES)]);
@@ -271,6 +274,19 @@
         }
     }
 
+    /// Stops to read until the response is sent. Counts that once a response.
+    fn wait_for_answer(
+        &mut self,
+        cx: &Context<'_>,
+        limit: &'static str,
+    ) -> Poll<io::Result<usize>> {
+        self.progress.wait(cx);
+        if !std::mem::replace(&mut self.is_at_limit, true) {
+            metrics::counter!("ibiscove_look_ahead_waits_total", "limit" => limit).increment(1);
+        }
+        Poll::Pending
+    }
+
     /// Starts the requests that have been read and need not wait for their turn.
     fn start_early(&mut self) {
         while !self.is_blocked && self.started.len() < self.settings.max_requests {
--- a/crates/http/tests/pipelines.rs
+++ b/crates/http/tests/pipelines.rs
@@ -146,22 +146,21 @@
     smol::block_on(async {
         let (addr, server, stage) = serve(early(16)).await;
         let mut client = Client::connect(addr).await;
-        let requests = [
-            get("/hold/1"),
-            get("/hold/2"),
-            post("/order", ""),
-            get("/4"),
-        ];
-        client.send(requests.concat()).await;
-        stage.wait_started(&["/hold/1", "/hold/2"]).await;
+        let paths = ["/hold/1", "/hold/2", "/hold/3"];
+        client.send(paths.map(get).concat()).await;
+        client.send([post("/order", ""), get("/5")].concat()).await;
+        stage.wait_started(&paths).await;
         server.drain();
-        client.send(get("/5")).await;
-        stage.release("/hold/1");
-        assert_eq!(client.answer().await, served("/hold/1"));
-        stage.release("/hold/2");
-        assert_eq!(client.answer().await, last_served("/hold/2"));
+        client.send(get("/6")).await;
+        // The connection has learnt of the drain at the latest with the first answer.
+        for path in &paths[..2] {
+            stage.release(path);
+            assert_eq!(client.answer().await, served(path));
+        }
+        stage.release("/hold/3");
+        assert_eq!(client.answer().await, last_served("/hold/3"));
         assert_eq!(client.answer().await, None);
-        assert_eq!(stage.started(), ["/hold/1", "/hold/2"]);
+        assert_eq!(stage.started(), paths);
     });
 }
 
