--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod fit;
 pub mod load;
 pub mod losses;
+pub mod pipelines;
 pub mod plot;
 pub mod scenarios;
 pub mod slopes;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,6 +1,7 @@
 //! `ibiscove-bench`: takes the measurements that the book shows.
 
 use ibiscove_bench::losses::{self, LossSettings};
+use ibiscove_bench::pipelines;
 use ibiscove_bench::scenarios::{self, Scenario};
 use ibiscove_bench::slopes::{self, Group, SlopeSettings, Slopes, Taken};
 use ibiscove_bench::{BenchError, capacity, plot};
@@ -35,6 +36,10 @@
              --losses N       losses, one after the other (default 10)
              --table-down     with the table down during each loss
              --data-centre    lose all nodes of a data centre at once
+  pipelines  load a server with look-ahead beside one without, with pipelines
+           of 1, 4 and 16 reads
+             --connections N  connections to each (default 200)
+             --seconds N      length of each load (default 5)
   page     remake the page's figures from the file of slopes
              --out FILE, --page FILE as above
 ";
@@ -56,6 +61,7 @@
         Some("run") => run_scenarios(args),
         Some("part") => run_part(args),
         Some("losses") => run_losses(args),
+        Some("pipelines") => run_pipelines(args),
         Some("page") => {
             let files = Files::parse(&mut args)?;
             let slopes = Slopes::parse(&read(&files.slopes)?)?;
@@ -138,6 +144,18 @@
     Ok(())
 }
 
+fn run_pipelines(mut args: pico_args::Arguments) -> Result<(), BenchError> {
+    let connections: Option<usize> = args.opt_value_from_str("--connections")?;
+    let seconds: Option<u64> = args.opt_value_from_str("--seconds")?;
+    let length = Duration::from_secs(seconds.unwrap_or(5));
+    println!("| depth | look-ahead | p50, ms | p99, ms | answers a second | KiB a connection |");
+    println!("|---|---|---|---|---|---|");
+    for report in smol::block_on(pipelines::run(connections.unwrap_or(200), length))? {
+        println!("{}", report.to_row());
+    }
+    Ok(())
+}
+
 fn run_slopes(mut args: pico_args::Arguments) -> Result<(), BenchError> {
     let files = Files::parse(&mut args)?;
     let machine: Option<String> = args.opt_value_from_str("--machine")?;
