Gate: slow start of cold and recovered upstreams

Cause: a gate sent a cold upstream what its slots allow, which is above the limit of a service with cold-per-s (FAILBACK). Change: admission holds the announced rate while the upstream is cold, counts the last second's starts against the bound, and doubles the rate per round of good answers after that; slow answers call for a health check.

--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -7,6 +7,7 @@
 mod crashes;
 mod exchange;
 mod load;
+mod slow_start;
 
 pub use crashes::CLOSE_DELAY;
 pub use load::GateLoad;
@@ -89,6 +90,11 @@
     /// Weight of a new sample in the moving average of the latency of all
     /// requests. Smaller than that of one route, because routes differ.
     pub overall_ewma_weight: f64,
+    /// Requests that a cold upstream may get within any second, as a multiple of the
+    /// rate that the configuration names for it.
+    pub cold_rate_factor: f64,
+    /// Requests by which they may exceed that.
+    pub cold_rate_slack: f64,
 }
 
 impl Default for GateSettings {
@@ -98,6 +104,8 @@
             max_idle: Duration::from_secs(3),
             response_slack: Duration::from_millis(20),
             overall_ewma_weight: 0.03,
+            cold_rate_factor: 1.0,
+            cold_rate_slack: 0.0,
         }
     }
 }
@@ -154,6 +162,7 @@
     latencies: Mutex<Latencies>,
     hang_detector: Mutex<HangDetector>,
     crash_watch: Mutex<CrashWatch<Option<suspects::SentCopy>>>,
+    slow_start: slow_start::SlowStartState,
     /// Notified when a queued request may have to wait for the upstream's limit.
     pacing_due: Event,
     /// Whether the gate refuses all new requests, because the node is about to
@@ -233,11 +242,15 @@
             detector.is_unresponsive(now)
         };
         let mut admission = self.admission();
+        let has_recovered = admission.is_probing() && !is_unresponsive;
         if admission.is_probing() != is_unresponsive {
             log::warn!(is_silent = is_unresponsive; "whether the upstream answers has changed");
         }
         let refused = admission.set_probing(is_unresponsive);
         drop(admission);
+        if has_recovered {
+            self.record_recovery(now);
+        }
         Self::notify(self, refused);
     }
 
@@ -329,6 +342,7 @@
                 latencies: Mutex::default(),
                 hang_detector: Mutex::default(),
                 crash_watch: Mutex::default(),
+                slow_start: slow_start::SlowStartState::default(),
                 pacing_due: Event::new(),
                 is_closed: AtomicBool::new(false),
             }),
@@ -486,6 +500,7 @@
         if let (Some(key), Some(keys)) = (metadata.key, self.inner.key_ownership.get()) {
             keys.record_work(key, elapsed);
         }
+        self.record_pace(metadata, &upstream, &result, elapsed, now);
         if result.is_ok() {
             self.inner.local_upstream.record_response(now);
             self.record_latency(metadata, elapsed);
@@ -537,6 +552,7 @@
     ) -> Result<Permit<K, C>, Refusal> {
         let now = self.inner.clock.now();
         self.inner.apply_rate_limit(upstream, now);
+        self.inner.observe_announcement(upstream, now);
         let latency = self.latency_estimate(metadata);
         let estimate = latency.mean();
         let request = AdmissionRequest {
--- a/crates/proxy/src/headers.rs
+++ b/crates/proxy/src/headers.rs
@@ -45,6 +45,10 @@
     pub max_rate: HeaderName,
     /// From the upstream: `1` if it is leaving.
     pub leaving: HeaderName,
+    /// From the upstream, on health answers: its id.
+    pub upstream_id: HeaderName,
+    /// From the upstream, on health answers: milliseconds for which it stays cold.
+    pub cold_ms: HeaderName,
 }
 
 impl Default for HeaderNames {
@@ -59,6 +63,8 @@
             proof: None,
             max_rate: HeaderName::from_static("ibiscove-max-rate"),
             leaving: HeaderName::from_static("ibiscove-leaving"),
+            upstream_id: HeaderName::from_static("ibiscove-upstream-id"),
+            cold_ms: HeaderName::from_static("ibiscove-cold-for-ms"),
         }
     }
 }
--- a/crates/proxy/src/routes.rs
+++ b/crates/proxy/src/routes.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use event_listener::{Event, EventListener};
+use hyper::http::uri::PathAndQuery;
 use ibiscove_routing::admission::Priority;
 use ibiscove_types::ServiceName;
 use std::collections::HashMap;
@@ -81,13 +82,24 @@
     }
 }
 
+/// What upstreams of a service take while their caches are cold.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ColdStart {
+    /// Requests a second that a cold upstream takes; above 0.
+    pub max_rate: f64,
+    /// Where upstreams answer health checks, which tell for how long they stay cold.
+    pub health_path: Option<PathAndQuery>,
+}
+
 /// The configuration of a service.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Service {
     /// Whether each key has one owner.
     pub is_divided: bool,
     /// Connections that its upstreams accept in total.
     pub max_connections: Option<u32>,
+    /// What its cold upstreams take; none where that is not limited.
+    pub cold_start: Option<ColdStart>,
 }
 
 /// Limits on callers' requests.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -339,6 +339,7 @@
         };
         let is_applied = self.inner.config.replace_if_newer(table, text);
         if is_applied {
+            self.apply_cold_start();
             self.start_range_controller();
             self.inner.spread_due.notify(usize::MAX);
         }
@@ -361,6 +362,7 @@
             .inner
             .local_upstream
             .apply_announcement(announcement, now);
+        self.inner.gate.observe_upstream();
         self.update_range_controller();
         match effect {
             AnnouncementEffect::Stale => return None,
@@ -386,6 +388,17 @@
         !self.inner.is_shutting_down.load(Ordering::Acquire) && self.inner.config.version() > 0
     }
 
+    /// Passes on what the configuration says of cold upstreams of the local service.
+    fn apply_cold_start(&self) {
+        let service = self.inner.settings.service.as_ref();
+        let table = self.inner.config.get();
+        let service = service
+            .zip(table.as_ref())
+            .and_then(|(name, table)| table.services.get(name));
+        let cold_start = service.and_then(|service| service.cold_start.clone());
+        self.inner.gate.set_cold_start(cold_start);
+    }
+
     /// Starts the range controller once the configuration declares the service of
     /// the local upstream as divided.
     fn start_range_controller(&self) {
--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -9,6 +9,7 @@
 //! target before late requests, which cannot, then by earliest target.
 
 use crate::pacing::Pacer;
+use crate::slow_start::SlowStart;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -89,6 +90,8 @@
     is_probing: bool,
     /// Spaces the starts of requests while the upstream names a limit.
     pacer: Option<Pacer>,
+    /// Limits the starts while the upstream is cold or recovers.
+    slow_start: SlowStart,
     /// Moving average of the estimates of all requests, in seconds.
     mean_estimate: Option<f64>,
     /// Moving average of the share of late requests that ran, by priority; 1 where
@@ -129,6 +132,7 @@
             nested_surplus: 0.0,
             is_probing: false,
             pacer: None,
+            slow_start: SlowStart::default(),
             mean_estimate: None,
             late_run_share: BTreeMap::new(),
             arrivals: BTreeMap::new(),
@@ -172,16 +176,35 @@
     /// unless the limit of the upstream is what it waits for.
     pub fn pacing_delay(&self, now: Instant) -> Option<Duration> {
         let has_free_slot = self.running < self.concurrency && !self.waiting.is_empty();
-        let pacer = self.pacer.as_ref().filter(|_| has_free_slot)?;
-        Some(pacer.delay(now))
+        self.start_delay(now).filter(|_| has_free_slot)
+    }
+
+    /// Returns the time until the limits of the upstream allow a request to start; none
+    /// without a limit.
+    fn start_delay(&self, now: Instant) -> Option<Duration> {
+        let paced = self.pacer.as_ref().map(|pacer| pacer.delay(now));
+        paced.max(self.slow_start.delay(now))
+    }
+
+    /// Returns the slow start of the upstream, to record what it says of itself.
+    pub fn slow_start(&mut self) -> &mut SlowStart {
+        &mut self.slow_start
+    }
+
+    /// Returns the rate that keeps all slots busy, in requests a second.
+    pub fn full_rate(&self) -> f64 {
+        let estimate = self.mean_estimate.unwrap_or_default();
+        self.concurrency as f64 / estimate.max(MIN_ESTIMATE_SECONDS)
     }
 
     /// Returns the number of requests that the upstream runs at a time at most: its
     /// slots, or fewer if its limit cannot keep them busy.
     pub fn capacity(&self) -> f64 {
         let slots = self.concurrency as f64;
-        match (&self.pacer, self.mean_estimate) {
-            (Some(pacer), Some(estimate)) => slots.min(pacer.rate() * estimate).max(MIN_CAPACITY),
+        let rates = [self.pacer.as_ref().map(Pacer::rate), self.slow_start.rate()];
+        let rate = rates.into_iter().flatten().reduce(f64::min);
+        match (rate, self.mean_estimate) {
+            (Some(rate), Some(estimate)) => slots.min(rate * estimate).max(MIN_CAPACITY),
             _ => slots,
         }
     }
@@ -413,15 +436,16 @@
         self.per_slot(waiting + self.running_work / 2)
     }
 
-    /// Returns whether the limit of the upstream allows a request to start.
+    /// Returns whether the limits of the upstream allow a request to start.
     fn is_paced(&self, now: Instant) -> bool {
-        self.pacer.is_none_or(|pacer| pacer.delay(now).is_zero())
+        self.start_delay(now).is_none_or(|delay| delay.is_zero())
     }
 
     fn start(&mut self, req: &AdmissionRequest, now: Instant) {
         if let Some(pacer) = &mut self.pacer {
             pacer.record_start(now);
         }
+        self.slow_start.record_start(now);
         self.running += 1;
         self.running_work += req.estimate;
     }
@@ -456,8 +480,8 @@
         // Slots become free one after the other: the first after the mean running
         // time divided by the number of slots.
         let wait = self.per_slot(work_ahead + self.mean_running_work());
-        match &self.pacer {
-            Some(pacer) => wait.max(pacer.delay(now) + self.per_slot(work_ahead)),
+        match self.start_delay(now) {
+            Some(delay) => wait.max(delay + self.per_slot(work_ahead)),
             None => wait,
         }
     }
@@ -491,6 +515,8 @@
 
 /// Weight of one request in the mean estimate.
 const ESTIMATE_SAMPLE_WEIGHT: f64 = 0.05;
+/// Least mean estimate from which a rate is derived.
+const MIN_ESTIMATE_SECONDS: f64 = 1e-3;
 /// Least capacity, in slots, at a limit or an estimate close to 0.
 const MIN_CAPACITY: f64 = 0.01;
 /// Time over which the rate of arrivals is averaged: several service times, and
--- /dev/null
+++ b/crates/routing/src/slow_start.rs
@@ -0,0 +1,323 @@
+//! Slow start of an upstream whose caches are cold after a start or a recovery.
+//!
+//! A cold upstream works slowly and takes few requests a second. Its gate, the only
+//! path to it, limits them to the announced rate until the announced time is over;
+//! after that the rate doubles with each round of good answers until the slots are
+//! the limit again. Refusals and losses halve the rate.
+//!
+//! An upstream may turn cold at any moment, which its next announcement says late.
+//! The most recent starts therefore count against the limit as soon as it is known,
+//! and answers that take longer than usual call for a health check, which tells
+//! earlier.
+
+use crate::pacing::Pacer;
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+/// Time over which the starts at a cold upstream are counted.
+const WINDOW: Duration = Duration::from_secs(1);
+/// Share of the limit of a window that is used. Requests reach the upstream somewhat
+/// closer together or further apart than they were admitted.
+const USED_SHARE: f64 = 0.8;
+/// Growth of the rate with each round of good answers.
+const GROWTH: f64 = 2.0;
+/// Reduction of the rate when the upstream refuses or loses a request.
+const BACK_OFF: f64 = 0.5;
+/// Least rate, as a share of the announced one.
+const MIN_RATE_SHARE: f64 = 0.1;
+/// Requests of this time make a round.
+const ROUND: Duration = Duration::from_millis(100);
+/// Fewest answers in a round.
+const MIN_ROUND: f64 = 2.0;
+/// Time between two reductions: requests that were sent together fail together.
+const BACK_OFF_INTERVAL: Duration = Duration::from_millis(100);
+/// Latency above which an answer is not a good one, relative to the usual one.
+const GOOD_LATENCY: f64 = 2.0;
+/// Mean latency of recent answers that may mean that the upstream has turned cold,
+/// relative to the usual one.
+const SUSPECT_LATENCY: f64 = 1.35;
+/// Largest relative latency that one answer counts with.
+const MAX_SAMPLE: f64 = 4.0;
+/// Weight of one answer in that mean.
+const SAMPLE_WEIGHT: f64 = 0.25;
+/// Share of a window's limit that may start after the last sign that the upstream is
+/// warm before a health check is worth its cost.
+const UNCHECKED_SHARE: f64 = 0.25;
+/// Time between two health checks.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// What a cold upstream takes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdLimit {
+    /// Requests a second, sustained.
+    pub rate: f64,
+    /// Most requests within any second.
+    pub max_per_second: f64,
+}
+
+impl ColdLimit {
+    /// Returns the number of requests that may start within any second.
+    fn window_limit(&self) -> usize {
+        (self.max_per_second.max(self.rate) * USED_SHARE).max(1.0) as usize
+    }
+}
+
+/// How a request ended at the upstream.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Answer {
+    /// It was answered; its latency relative to the usual one of its kind.
+    Answered(f64),
+    /// The upstream refused it because it has no room.
+    Refused,
+    /// It was lost, or its answer did not come in time.
+    Lost,
+}
+
+/// The stage of a slow start.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Stage {
+    /// The upstream is cold until a time.
+    Cold { until: Instant },
+    /// The rate grows with good answers.
+    Growing,
+}
+
+/// A change that is worth a line in the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// A slow start has begun.
+    Begun,
+    /// The rate has reached what the slots allow.
+    Ended,
+}
+
+/// Limits the starts of requests at one upstream while it is cold or recovers.
+#[derive(Debug, Default)]
+pub struct SlowStart {
+    limit: Option<ColdLimit>,
+    limited: Option<Limited>,
+    /// The last starts, oldest first; as many as one second may have.
+    recent: VecDeque<Instant>,
+    /// Good answers in this round.
+    good: f64,
+    backed_off_at: Option<Instant>,
+    signs: WarmSigns,
+}
+
+/// The limit that applies now.
+#[derive(Debug)]
+struct Limited {
+    stage: Stage,
+    pacer: Pacer,
+}
+
+/// Signs of whether a warm upstream is still warm.
+#[derive(Debug, Default)]
+struct WarmSigns {
+    /// Moving average of relative latencies.
+    latency: f64,
+    /// Starts since the upstream last said that it is warm.
+    unchecked: f64,
+    checked_at: Option<Instant>,
+    has_lost: bool,
+}
+
+impl SlowStart {
+    /// Sets what the upstream takes while it is cold; without a limit there is no slow
+    /// start, and one in progress ends.
+    pub fn set_limit(&mut self, limit: Option<ColdLimit>) {
+        let limit = limit.filter(|limit| limit.rate > 0.0);
+        if limit == self.limit {
+            return;
+        }
+        self.limit = limit;
+        match (limit, &mut self.limited) {
+            (Some(limit), Some(limited)) => limited.pacer.set_rate(limit.rate),
+            (Some(_), None) => {}
+            (None, _) => {
+                self.limited = None;
+                self.recent.clear();
+            }
+        }
+    }
+
+    /// Returns whether the upstream has a limit while it is cold.
+    pub fn is_enabled(&self) -> bool {
+        self.limit.is_some()
+    }
+
+    /// Returns the rate that applies now, in requests a second; none if there is no
+    /// limit other than the slots.
+    pub fn rate(&self) -> Option<f64> {
+        Some(self.limited.as_ref()?.pacer.rate())
+    }
+
+    /// Records that the upstream says that it is cold until a time; a time that has
+    /// passed says that it is warm.
+    pub fn record_cold_until(&mut self, until: Instant, now: Instant) -> Option<Change> {
+        let limit = self.limit?;
+        if until <= now {
+            self.signs.unchecked = 0.0;
+            self.signs.has_lost = false;
+            return None;
+        }
+        if let Some(Limited {
+            stage: Stage::Cold { until: earlier },
+            ..
+        }) = &mut self.limited
+        {
+            *earlier = until.max(*earlier);
+            return None;
+        }
+        let was_limited = self.limited.is_some();
+        self.begin(Stage::Cold { until }, limit.rate, now);
+        (!was_limited).then_some(Change::Begun)
+    }
+
+    /// Records that the upstream answers again after an outage, and may take less than
+    /// before.
+    pub fn record_recovery(&mut self, now: Instant) -> Option<Change> {
+        let limit = self.limit?;
+        if self.limited.is_some() {
+            return None;
+        }
+        self.begin(Stage::Growing, limit.rate, now);
+        Some(Change::Begun)
+    }
+
+    /// Records that another process serves at the upstream's address: what its
+    /// predecessor said of itself no longer holds.
+    pub fn record_successor(&mut self) {
+        if let Some(limited) = &mut self.limited {
+            limited.stage = Stage::Growing;
+        }
+        self.signs = WarmSigns::default();
+    }
+
+    fn begin(&mut self, stage: Stage, rate: f64, now: Instant) {
+        self.good = 0.0;
+        self.signs = WarmSigns::default();
+        let mut pacer = match self.limited.take() {
+            Some(limited) => limited.pacer,
+            None => Pacer::new(rate, now),
+        };
+        pacer.set_rate(rate);
+        self.limited = Some(Limited { stage, pacer });
+    }
+
+    /// Records that a request starts.
+    pub fn record_start(&mut self, now: Instant) {
+        let Some(limit) = self.limit else {
+            return;
+        };
+        while self.recent.len() >= limit.window_limit() {
+            self.recent.pop_front();
+        }
+        self.recent.push_back(now);
+        self.signs.unchecked += 1.0;
+        if let Some(limited) = &mut self.limited {
+            limited.pacer.record_start(now);
+        }
+    }
+
+    /// Returns the time until a request may start; none if there is no limit.
+    pub fn delay(&self, now: Instant) -> Option<Duration> {
+        let (limit, limited) = (self.limit?, self.limited.as_ref()?);
+        let paced = limited.pacer.delay(now);
+        let is_cold = matches!(limited.stage, Stage::Cold { until } if now < until);
+        if !is_cold || self.recent.len() < limit.window_limit() {
+            return Some(paced);
+        }
+        let oldest = self.recent.front()?;
+        Some(paced.max((*oldest + WINDOW).saturating_duration_since(now)))
+    }
+
+    /// Records how a request ended. `full_rate` is the rate, in requests a second, that
+    /// keeps all slots busy; the slow start ends there.
+    pub fn record_answer(
+        &mut self,
+        answer: Answer,
+        full_rate: f64,
+        now: Instant,
+    ) -> Option<Change> {
+        let limit = self.limit?;
+        self.signs.record(answer);
+        let limited = self.limited.as_mut()?;
+        if matches!(limited.stage, Stage::Cold { until } if until <= now) {
+            limited.stage = Stage::Growing;
+            self.good = 0.0;
+        }
+        let latency = match answer {
+            Answer::Answered(latency) => latency,
+            Answer::Refused | Answer::Lost => {
+                self.back_off(limit, now);
+                return None;
+            }
+        };
+        let is_growing = limited.stage == Stage::Growing;
+        let rate = limited.pacer.rate();
+        // A cold upstream is expected to be slow.
+        if is_growing && latency > GOOD_LATENCY {
+            return None;
+        }
+        self.good += 1.0;
+        if self.good < (rate * ROUND.as_secs_f64()).max(MIN_ROUND) {
+            return None;
+        }
+        self.good = 0.0;
+        let grown = rate * GROWTH;
+        if is_growing && grown >= full_rate {
+            self.limited = None;
+            return Some(Change::Ended);
+        }
+        limited.pacer.set_rate(match is_growing {
+            true => grown,
+            false => grown.min(limit.rate),
+        });
+        None
+    }
+
+    fn back_off(&mut self, limit: ColdLimit, now: Instant) {
+        let is_recent = self
+            .backed_off_at
+            .is_some_and(|at| now < at + BACK_OFF_INTERVAL);
+        let Some(limited) = self.limited.as_mut().filter(|_| !is_recent) else {
+            return;
+        };
+        self.good = 0.0;
+        self.backed_off_at = Some(now);
+        let rate = limited.pacer.rate() * BACK_OFF;
+        limited
+            .pacer
+            .set_rate(rate.max(limit.rate * MIN_RATE_SHARE));
+    }
+
+    /// Returns whether the upstream is to be asked now whether it has turned cold, and
+    /// records that it is.
+    pub fn take_check(&mut self, now: Instant) -> bool {
+        let Some(limit) = self.limit.filter(|_| self.limited.is_none()) else {
+            return false;
+        };
+        let signs = &mut self.signs;
+        let is_suspect = signs.has_lost || signs.latency >= SUSPECT_LATENCY;
+        let is_recent = signs.checked_at.is_some_and(|at| now < at + CHECK_INTERVAL);
+        let unchecked = limit.max_per_second * USED_SHARE * UNCHECKED_SHARE;
+        if !is_suspect || is_recent || signs.unchecked < unchecked {
+            return false;
+        }
+        signs.checked_at = Some(now);
+        true
+    }
+}
+
+impl WarmSigns {
+    fn record(&mut self, answer: Answer) {
+        match answer {
+            Answer::Answered(latency) => {
+                self.latency += (latency.clamp(0.0, MAX_SAMPLE) - self.latency) * SAMPLE_WEIGHT;
+            }
+            Answer::Refused => {}
+            Answer::Lost => self.has_lost = true,
+        }
+    }
+}
