--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -6,10 +6,13 @@
 
 use hyper::body::Incoming;
 use hyper::header::HeaderName;
+use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method, Request, Response};
 use ibiscove_http::body::read_whole;
 use ibiscove_http::{Body, Exchange, Pool, Server, ServerSettings};
-use ibiscove_proxy::routes::{CallerLimits, RequestKind, Route, RouteTable, Service, Share};
+use ibiscove_proxy::routes::{
+    CallerLimits, ColdStart, RequestKind, Route, RouteTable, Service, Share,
+};
 use ibiscove_proxy::{Announcement, HeaderNames};
 use ibiscove_ranges::{GrantCall, GrantReply, Grantee, HoldReport, ReleaseCall, ReleaseReply};
 use ibiscove_router::{Router, RouterAddrs, RouterSettings};
@@ -29,6 +32,8 @@
     pub grants: Arc<AtomicU32>,
     /// Headers of its answers, by which it gives notice of its state.
     pub notice: Arc<Mutex<HeaderMap>>,
+    /// Milliseconds after which it answers.
+    pub delay_ms: Arc<AtomicU32>,
 }
 
 impl Grantee for CountingUpstream {
@@ -50,10 +55,13 @@
         let addr = listener.local_addr().expect("the listener is bound");
         let runs = Arc::clone(&self.runs);
         let notice = Arc::clone(&self.notice);
+        let delay_ms = Arc::clone(&self.delay_ms);
         let handle = move |req: Request<Incoming>| {
             runs.fetch_add(1, Ordering::SeqCst);
             let notice = notice.lock().expect("no holder panics").clone();
+            let delay = Duration::from_millis(delay_ms.load(Ordering::SeqCst).into());
             async move {
+                smol::Timer::after(delay).await;
                 let names = HeaderNames::default();
                 let mut response = Response::new(Body::<()>::whole("done"));
                 response.headers_mut().extend(notice);
@@ -68,6 +76,9 @@
     }
 }
 
+/// Requests a second that a cold upstream of the service `archive` takes.
+pub const FRAIL_RATE: f64 = 14.0;
+
 pub fn parse_config(text: &[u8]) -> Result<RouteTable, String> {
     let version = String::from_utf8_lossy(text)
         .parse()
@@ -90,7 +101,15 @@
         is_divided: true,
         ..Service::default()
     };
+    let frail = Service {
+        cold_start: Some(ColdStart {
+            max_rate: FRAIL_RATE,
+            health_path: Some(PathAndQuery::from_static("/healthz")),
+        }),
+        ..Service::default()
+    };
     let services: HashMap<_, _> = [
+        ("archive".into(), frail),
         ("gallery".into(), Service::default()),
         ("deposits".into(), divided),
     ]
@@ -98,6 +117,7 @@
     let routes = vec![
         route("signs", "gallery", RequestKind::Idempotent),
         route("orders", "gallery", RequestKind::NonIdempotent),
+        route("files", "archive", RequestKind::Idempotent),
         route("pay", "deposits", RequestKind::Idempotent),
     ];
     RouteTable::new(version, routes, services, CallerLimits::default()).map_err(|e| e.to_string())
