--- a/crates/proxy/src/gate/slow_start.rs
+++ b/crates/proxy/src/gate/slow_start.rs
@@ -140,7 +140,7 @@
         now: Instant,
     ) {
         let answer = match result {
-            Ok(response) if response.status().is_server_error() => Answer::Refused,
+            Ok(response) if response.status().is_server_error() => Answer::Failed,
             Ok(_) => {
                 let usual = self.latency_estimate(metadata).mean();
                 let usual = usual.max(Duration::from_millis(1));
@@ -148,6 +148,7 @@
             }
             Err(refusal) => match refusal.reason {
                 Reason::UpstreamRefused => Answer::Refused,
+                Reason::DeadlineExceeded => Answer::Failed,
                 _ => Answer::Lost,
             },
         };
--- a/crates/routing/src/slow_start.rs
+++ b/crates/routing/src/slow_start.rs
@@ -3,7 +3,7 @@
 //! A cold upstream works slowly and takes few requests a second. Its gate, the only
 //! path to it, limits them to the announced rate until the announced time is over;
 //! after that the rate doubles with each round of good answers until the slots are
-//! the limit again. Refusals and losses halve the rate.
+//! the limit again. Slow answers count for less; refusals and losses halve the rate.
 //!
 //! An upstream may turn cold at any moment, which its next announcement says late.
 //! The most recent starts therefore count against the limit as soon as it is known,
@@ -31,8 +31,11 @@
 const MIN_ROUND: f64 = 2.0;
 /// Time between two reductions: requests that were sent together fail together.
 const BACK_OFF_INTERVAL: Duration = Duration::from_millis(100);
-/// Latency above which an answer is not a good one, relative to the usual one.
+/// Latency above which an answer counts as slow, relative to the usual one.
 const GOOD_LATENCY: f64 = 2.0;
+/// What a slow answer counts in a round. Work may be slow for reasons that fewer
+/// requests do not change, such as keys that are new to the upstream.
+const SLOW_ANSWER: f64 = 0.25;
 /// Mean latency of recent answers that may mean that the upstream has turned cold,
 /// relative to the usual one.
 const SUSPECT_LATENCY: f64 = 1.35;
@@ -67,9 +70,12 @@
 pub enum Answer {
     /// It was answered; its latency relative to the usual one of its kind.
     Answered(f64),
+    /// It failed or was not answered in time, possibly for want of another service,
+    /// which says nothing about the pace.
+    Failed,
     /// The upstream refused it because it has no room.
     Refused,
-    /// It was lost, or its answer did not come in time.
+    /// Its connection was refused or broke.
     Lost,
 }
 
@@ -249,6 +255,7 @@
         }
         let latency = match answer {
             Answer::Answered(latency) => latency,
+            Answer::Failed => return None,
             Answer::Refused | Answer::Lost => {
                 self.back_off(limit, now);
                 return None;
@@ -257,10 +264,10 @@
         let is_growing = limited.stage == Stage::Growing;
         let rate = limited.pacer.rate();
         // A cold upstream is expected to be slow.
-        if is_growing && latency > GOOD_LATENCY {
-            return None;
-        }
-        self.good += 1.0;
+        self.good += match is_growing && latency > GOOD_LATENCY {
+            true => SLOW_ANSWER,
+            false => 1.0,
+        };
         if self.good < (rate * ROUND.as_secs_f64()).max(MIN_ROUND) {
             return None;
         }
@@ -316,7 +323,7 @@
             Answer::Answered(latency) => {
                 self.latency += (latency.clamp(0.0, MAX_SAMPLE) - self.latency) * SAMPLE_WEIGHT;
             }
-            Answer::Refused => {}
+            Answer::Failed | Answer::Refused => {}
             Answer::Lost => self.has_lost = true,
         }
     }
