A status that is no answer is answered with a truthful 502

Cause: a status was taken for what the HTTP library made of it. `ibiscove serve` passed 101 and 600 to 999 on to callers, believed a 600 that said that the request did not run, and took the store's 600 to a write for "certainly without effect". `ibiscove node` panicked at statuses that its library has no name for, in the tasks of requests and in those that call the table; callers got a closed connection. It also gave up at 500 MiB of a body after it had begun to answer.

Change: one function says which statuses are final answers (200 to 599), for both programs; the second library reads only what has passed it. Any other is a lost answer: outcome unknown, counted in the upstream's health, named in a line, its connection closed. Panics are logged, counted and answered with 502, reason internal. Answers of any length are streamed.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -2,6 +2,7 @@
 
 use crate::body::Body;
 use crate::socket;
+use crate::status::{NoAnswer, require_final};
 use event_listener::Event;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -70,6 +71,14 @@
         /// The address.
         addr: SocketAddr,
     },
+    /// The request was sent, and what came back is no answer.
+    #[error("no answer from {addr}: {cause}")]
+    NoAnswer {
+        /// The address.
+        addr: SocketAddr,
+        /// The status that came back.
+        cause: NoAnswer,
+    },
     /// The request was sent, at least in part, and no response was received.
     #[error("no answer from {addr}: {cause}")]
     Lost {
@@ -83,7 +92,7 @@
 impl SendError {
     /// Returns whether the request certainly did not leave this process.
     pub fn is_unsent(&self) -> bool {
-        !matches!(self, SendError::Lost { .. })
+        !matches!(self, SendError::NoAnswer { .. } | SendError::Lost { .. })
     }
 
     /// Returns whether no process listens at the address.
@@ -371,6 +380,9 @@
     ) -> Result<Exchange, (SendError, Option<Request<Body>>)> {
         match connection.sender.try_send_request(req).await {
             Ok(response) => {
+                // On failure the connection is dropped, and so closed.
+                require_final(response.status().as_u16())
+                    .map_err(|cause| (SendError::NoAnswer { addr, cause }, None))?;
                 let reusable_until = reusable_until(&response, self.inner.settings.max_idle);
                 let is_first = !std::mem::replace(&mut connection.has_answered, true);
                 let connection = PooledConnection {
--- a/crates/http/src/direct.rs
+++ b/crates/http/src/direct.rs
@@ -3,6 +3,7 @@
 use crate::body::Body;
 use crate::client::{Connection, PoolSettings, SendError, connect, reusable_until, set_host};
 use crate::socket;
+use crate::status::require_final;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use ibiscove_types::{BootClock, SinceBoot};
@@ -151,6 +152,8 @@
         };
         match self.connection.sender.try_send_request(req).await {
             Ok(response) => {
+                require_final(response.status().as_u16())
+                    .map_err(|cause| SendError::NoAnswer { addr, cause })?;
                 self.reusable_until = reusable_until(&response, self.max_idle);
                 Ok(response)
             }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -14,13 +14,16 @@
 //! library.
 
 pub mod body;
+pub mod checked;
 pub mod client;
 pub mod direct;
 pub mod headers;
 pub mod server;
 pub mod socket;
+pub mod status;
 
 pub use body::Body;
+pub use checked::CheckedConnector;
 pub use client::{Exchange, Pool, PoolSettings, SendError};
 pub use direct::DirectConnection;
 pub use server::{Server, ServerSettings};
--- a/crates/logging/src/lib.rs
+++ b/crates/logging/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod budget;
 pub mod limit;
 pub mod line;
+pub mod panics;
 pub mod writer;
 
 use budget::ByteBudget;
@@ -29,7 +30,7 @@
     Stdout,
 }
 
-/// Installs the logger: sends lines of at least `level` to `output`.
+/// Installs the logger: sends lines of at least `level` to `output`, and panics too.
 pub fn init(level: log::LevelFilter, output: Output) -> Result<(), log::SetLoggerError> {
     let limit = CallSiteLimit::default();
     let clock = SystemClock;
@@ -53,6 +54,7 @@
             false => writer.count_dropped(),
         }
     });
+    panics::log_panics();
     fern::Dispatch::new()
         .level(level)
         .level_for("polling", log::LevelFilter::Warn)
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -9,6 +9,7 @@
 
 use crate::connector::connection_never_opened;
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWriteExt, FutureExt, future, io};
+use ibiscove_http::status::require_final;
 use std::future::{Future, IntoFuture};
 use std::pin::{Pin, pin};
 use std::task::{Context, Poll, ready};
@@ -120,7 +121,7 @@
         }
         ReqBody::Stream(len) => send_streaming(conn, outbound, *len).or(timeout).await,
     };
-    response.and_then(require_final_status)
+    response.and_then(check_head)
 }
 
 /// Sends a request whose body is whole, without watching for the caller to
@@ -138,7 +139,7 @@
         Err(ExchangeError::TimedOut)
     };
     let sending = async { outbound.await.map_err(exchange_error) };
-    sending.or(timeout).await.and_then(require_final_status)
+    sending.or(timeout).await.and_then(check_head)
 }
 
 async fn send_whole(conn: &mut Conn, outbound: ClientConn) -> ExchangeResult {
@@ -177,14 +178,23 @@
     }
 }
 
-/// Rejects an interim response that the HTTP library took for the final one.
+/// Rejects a response that is not final, or whose length the HTTP library cannot count.
 ///
-/// What follows it on the connection belongs to the same request, so the
-/// connection is closed lest the next request reads it.
-fn require_final_status(response: ClientConn) -> ExchangeResult {
-    let is_final = response.status().is_some_and(|s| s as u16 >= 200);
-    if is_final {
-        return Ok(response);
+/// What follows it on the connection cannot be told apart, so the connection is closed
+/// lest the next request reads it.
+fn check_head(response: ClientConn) -> ExchangeResult {
+    let status = response.status().map_or(0, |status| status as u16);
+    let length = response
+        .response_headers()
+        .get_str(KnownHeaderName::ContentLength);
+    let is_countable = |length: &str| length.parse().is_ok_and(|length: u64| length < u64::MAX);
+    match (require_final(status), length) {
+        (Ok(()), None) => return Ok(response),
+        (Ok(()), Some(length)) if is_countable(length) => return Ok(response),
+        (Ok(()), Some(length)) => {
+            log::warn!(length = length; "an answer is given up: its length cannot be counted");
+        }
+        (Err(err), _) => log::warn!("an answer is given up: {err}"),
     }
     // Unlike the connection, a body that is dropped unread is never pooled.
     drop(ReceivedBody::<'static, BoxedTransport>::from(response));
@@ -270,6 +280,8 @@
         || matches!(status, Some(Status::NoContent | Status::NotModified));
     if !has_no_body {
         let body: ReceivedBody<'static, BoxedTransport> = response.into();
+        // It is streamed, so that its length costs no memory.
+        let body = body.with_max_len(u64::MAX);
         let len = body.content_length();
         let body = ObservedBody {
             body,
@@ -305,6 +317,8 @@
             Ok(len) => len,
             Err(err) => {
                 metrics::counter!("ibiscove_broken_answers_total").increment(1);
+                log::info!(read = this.bytes_read, length:? = this.body.content_length();
+                    "an answer broke off after its head: {err}");
                 return Poll::Ready(Err(err));
             }
         };
--- a/crates/node/src/listen.rs
+++ b/crates/node/src/listen.rs
@@ -19,6 +19,7 @@
 use smol::Timer;
 use std::io;
 use std::net::{Shutdown, SocketAddr, TcpListener as StdListener};
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
@@ -228,30 +229,41 @@
     let peer_ip = stream.peer_addr().ok().map(|addr| addr.ip());
     let stage = Arc::new(SharedStage::default());
     let transport = Transport::new(stream.clone(), Arc::clone(&stage), server.limits.clone());
+    // Until the handler returns, nothing of the response has been written.
+    let is_handler_running = AtomicBool::new(false);
     let handle = |mut conn: HttpConn<Transport>| {
         conn.set_peer_ip(peer_ip);
         stage.set(Stage::Handling);
+        is_handler_running.store(true, Ordering::SeqCst);
         let stage = Arc::clone(&stage);
+        let is_handler_running = &is_handler_running;
         conn.after_send(move |status| {
             if status.is_success() {
                 stage.set(Stage::Head);
             }
         });
-        async { handle_request(conn.into(), server).await.into_inner() }
-    };
-    let result =
-        HttpConn::map_with_config(server.http, transport, server.stopper.clone(), handle).await;
-    let Err(err) = result else {
-        return;
-    };
-    match head_refusal(&err, &stage) {
-        Some(refusal) => {
-            refusal.count(server.role);
-            send_refusal(stream, refusal).await;
+        async move {
+            let conn = handle_request(conn.into(), server).await.into_inner();
+            is_handler_running.store(false, Ordering::SeqCst);
+            conn
         }
-        None => {
-            log::debug!(role = server.role; "listener: a connection ended with an error: {err}")
+    };
+    let serving = HttpConn::map_with_config(server.http, transport, server.stopper.clone(), handle);
+    // A handler shares nothing with others that it leaves half changed: what it holds is
+    // released as it is dropped, as when its caller disconnects.
+    let refusal = match AssertUnwindSafe(serving).catch_unwind().await {
+        Ok(Ok(_)) => return,
+        Ok(Err(err)) => {
+            log::debug!(role = server.role; "listener: a connection ended with an error: {err}");
+            head_refusal(&err, &stage)
         }
+        Err(_) => is_handler_running
+            .load(Ordering::SeqCst)
+            .then_some(Refusal::unknown(Reason::Internal)),
+    };
+    if let Some(refusal) = refusal {
+        refusal.count(server.role);
+        send_refusal(stream, refusal).await;
     }
 }
 
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -12,6 +12,7 @@
 use crate::{NodeAddrs, NodeSettings};
 use ibiscove_config::store::ConfigStore;
 use ibiscove_config::{Inventory, Rules};
+use ibiscove_http::CheckedConnector;
 use ibiscove_ownership::{Ownership, ServiceSpec};
 use ibiscove_spread::Replica;
 use ibiscove_store::{Objects, Table};
@@ -89,7 +90,10 @@
                 clock: clock.clone(),
             },
         );
-        let connector = MarkingConnector::new(clock.clone(), settings.connect_timeout);
+        let connector = CheckedConnector(MarkingConnector::new(
+            clock.clone(),
+            settings.connect_timeout,
+        ));
         let http = Client::new(connector).with_default_pool();
         let started_at = clock.now();
         let recorder = TraceRecorder::new(&settings);
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod gate;
 pub mod headers;
 pub mod local_upstream;
+pub mod panics;
 pub mod peer_api;
 pub mod refusal;
 pub mod relay;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -28,6 +28,7 @@
 use ibiscove_mesh::{Members, Upstream, followers, heartbeat};
 use ibiscove_proxy::entry::{EntryDependencies, NodeIdentity};
 use ibiscove_proxy::local_upstream::AnnouncementEffect;
+use ibiscove_proxy::panics::respond_despite_panic;
 use ibiscove_proxy::peer_api::PeerServer;
 use ibiscove_proxy::suspects::Suspects;
 use ibiscove_proxy::{
@@ -222,7 +223,7 @@
             .run(callers, ServerSettings::default(), {
                 move |req| {
                     let entry = entry.clone();
-                    async move { entry.handle(req).await }
+                    async move { respond_despite_panic(entry.handle(req), "entry").await }
                 }
             });
         let peer_handler = Arc::new(PeerServer {
@@ -239,7 +240,7 @@
             .run(peers, ServerSettings::default(), {
                 move |req| {
                     let handler = Arc::clone(&peer_handler);
-                    async move { handler.handle(req).await }
+                    async move { respond_despite_panic(handler.handle(req), "gate").await }
                 }
             });
         smol::spawn(serve_callers).detach();
--- a/crates/router/tests/upstream_answers.rs
+++ b/crates/router/tests/upstream_answers.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicI64, AtomicU32, Ordering};
 use std::time::Duration;
-use support::raw::{answer, read_head, serve_raw};
+use support::raw::{answer, get_on_new_connection, read_head, serve_raw};
 use support::{CountingUpstream, send_request, start_node_beside, wait_until_served};
 use yare::parameterized;
 
@@ -148,3 +148,100 @@
         }
     });
 }
+
+/// Answers requests with `odd` in their path with `odd`, in which `ID` stands for the id
+/// of the request, and counts the requests that it reads on a connection after that.
+async fn serve_odd(odd: &'static str, reused: Arc<AtomicU32>) -> SocketAddr {
+    serve_raw(move |mut stream| {
+        let reused = Arc::clone(&reused);
+        async move {
+            let mut was_odd = false;
+            while let Some(head) = read_head(&mut stream).await {
+                reused.fetch_add(u32::from(was_odd), Ordering::SeqCst);
+                was_odd |= head.path.contains("odd");
+                let answer = match head.path.contains("odd") {
+                    true => odd.replace("ID", &head.request_id),
+                    false => answer(&head.request_id),
+                };
+                if stream.write_all(answer.as_bytes()).await.is_err() {
+                    return;
+                }
+            }
+        }
+    })
+    .await
+}
+
+/// Guards against relaying what is no answer: a status outside 100 to 599, or an interim
+/// or switching one in place of the final one. Its connection is not used again.
+#[parameterized(
+    status_000 = { 61, "HTTP/1.1 000 Odd\r\nIbiscove-Request-Id: ID\r\nContent-Length: 4\r\n\r\ndone" },
+    status_099 = { 62, "HTTP/1.1 099 Odd\r\nIbiscove-Request-Id: ID\r\nContent-Length: 4\r\n\r\ndone" },
+    final_101 = { 63, "HTTP/1.1 101 Odd\r\nIbiscove-Request-Id: ID\r\nContent-Length: 4\r\n\r\ndone" },
+    final_150 = { 64, "HTTP/1.1 150 Odd\r\nIbiscove-Request-Id: ID\r\nContent-Length: 4\r\n\r\ndone" },
+    final_199 = { 65, "HTTP/1.1 199 Odd\r\nIbiscove-Request-Id: ID\r\nContent-Length: 4\r\n\r\ndone" },
+    status_600 = { 66, "HTTP/1.1 600 Odd\r\nIbiscove-Request-Id: ID\r\nContent-Length: 4\r\n\r\ndone" },
+    status_999 = { 67, "HTTP/1.1 999 Odd\r\nIbiscove-Request-Id: ID\r\nContent-Length: 4\r\n\r\ndone" },
+    refusal_600 = { 68, "HTTP/1.1 600 Odd\r\nIbiscove-Request-Id: ID\r\nIbiscove-Not-Run: 1\r\nContent-Length: 4\r\n\r\ndone" },
+    after_an_interim_one = { 69, "HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 600 Odd\r\nIbiscove-Request-Id: ID\r\nContent-Length: 4\r\n\r\ndone" },
+)]
+fn status_that_is_no_answer_becomes_a_truthful_502(number: u8, odd: &'static str) {
+    smol::block_on(async {
+        let reused = Arc::new(AtomicU32::new(0));
+        let addr = serve_odd(odd, Arc::clone(&reused)).await;
+        let entry = start_node_before(number, addr).await;
+        let pool = Pool::new(PoolSettings::default());
+        for path in ["/orders/odd", "/signs/odd"] {
+            let (status, body) = send_request(&pool, entry, path).await;
+            assert_eq!(status, 502, "{path}: {body}");
+            assert!(body.contains("unknown"), "{path}: {body}");
+        }
+        assert_eq!(send_request(&pool, entry, "/orders/1").await.0, 200);
+        assert_eq!(reused.load(Ordering::SeqCst), 0);
+    });
+}
+
+/// Interim answers are skipped, and unusual final ones are the upstream's to choose.
+#[parameterized(
+    interim = { 70, "HTTP/1.1 150 Odd\r\n\r\nHTTP/1.1 200 OK\r\nIbiscove-Request-Id: ID\r\nContent-Length: 4\r\n\r\ndone", 200 },
+    lowest = { 71, "HTTP/1.1 299 Odd\r\nIbiscove-Request-Id: ID\r\nContent-Length: 4\r\n\r\ndone", 299 },
+    highest = { 72, "HTTP/1.1 599 Odd\r\nIbiscove-Request-Id: ID\r\nContent-Length: 4\r\n\r\ndone", 599 },
+)]
+fn unusual_answer_is_relayed(number: u8, odd: &'static str, expected: u16) {
+    smol::block_on(async {
+        let addr = serve_odd(odd, Arc::default()).await;
+        let entry = start_node_before(number, addr).await;
+        let pool = Pool::new(PoolSettings::default());
+        let (status, body) = send_request(&pool, entry, "/orders/odd").await;
+        assert_eq!((status, &*body), (expected, "done"));
+    });
+}
+
+/// A very long answer is streamed, so that its beginning arrives.
+#[parameterized(
+    five_billion = { 73, 5_000_000_000 },
+    hundred_billion = { 74, 99_999_999_999 },
+)]
+fn beginning_of_a_very_long_answer_is_passed_on(number: u8, length: u64) {
+    smol::block_on(async {
+        let addr = serve_raw(move |mut stream| async move {
+            while let Some(head) = read_head(&mut stream).await {
+                let answer = match head.path.contains("long") {
+                    true => format!(
+                        "HTTP/1.1 200 OK\r\nIbiscove-Request-Id: {}\r\n\
+                         Content-Length: {length}\r\n\r\n{}",
+                        head.request_id,
+                        "x".repeat(1 << 20)
+                    ),
+                    false => answer(&head.request_id),
+                };
+                if stream.write_all(answer.as_bytes()).await.is_err() {
+                    return;
+                }
+            }
+        })
+        .await;
+        let entry = start_node_before(number, addr).await;
+        assert_eq!(get_on_new_connection(entry, "/signs/long").await, Some(200));
+    });
+}
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -9,6 +9,7 @@
 
 use crate::{Commit, Objects, RawRow, Table, TableError, Transaction};
 use futures_lite::FutureExt;
+use ibiscove_http::CheckedConnector;
 use ibiscove_types::RowVersion;
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, PercentEncode, utf8_percent_encode};
 use serde::{Deserialize, Serialize};
@@ -99,7 +100,7 @@
 impl HttpPlatform {
     /// Returns a client without connections; the first call opens one.
     pub fn new(settings: HttpSettings) -> Self {
-        let connector = trillium_smol::ClientConfig::default().with_nodelay(true);
+        let connector = CheckedConnector(trillium_smol::ClientConfig::default().with_nodelay(true));
         Self {
             settings,
             client: Client::new(connector).with_default_pool(),
--- a/crates/store/tests/http_faults.rs
+++ b/crates/store/tests/http_faults.rs
@@ -122,6 +122,9 @@
     server_error = { "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\nConnection: close\r\n\r\n" },
     redirect = { "HTTP/1.1 302 Found\r\nLocation: /x\r\nContent-Length: 0\r\nConnection: close\r\n\r\n" },
     unauthorised = { "HTTP/1.1 401 Unauthorized\r\nContent-Length: 0\r\nConnection: close\r\n\r\n" },
+    status_000 = { "HTTP/1.1 000 Odd\r\nContent-Length: 0\r\nConnection: close\r\n\r\n" },
+    status_600 = { "HTTP/1.1 600 Odd\r\nContent-Length: 0\r\nConnection: close\r\n\r\n" },
+    final_101 = { "HTTP/1.1 101 Odd\r\nContent-Length: 0\r\nConnection: close\r\n\r\n" },
 )]
 fn an_unusable_response_leaves_the_effect_unknown(response: &'static str) {
     smol::block_on(async {
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -129,6 +129,8 @@
     CallerGone => "caller-gone", 400;
     /// The caller sent too slowly or stopped midway.
     CallerStalled => "caller-stalled", 408;
+    /// A fault of this node itself ended the request.
+    Internal => "internal", 502;
     /// The retry budget is exhausted.
     RetryBudget => "retry-budget", 503;
     /// Earlier copies of the request have crashed the upstreams that ran them.
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod demo;
 mod edges;
 mod guarantees;
+mod odd_answers;
 mod operators;
 mod ownership;
 mod processes;
