HTTP server: nothing starts beside a request that must not be repeated

Cause: the look-ahead went on behind a running request that must not be repeated, so a read behind a write could see the state from before it (RFC 9112, 9.3.2). Change: the service asks the handler about each request that hyper passes to it and only then allows the look-ahead to start those behind it. Measured: the two tests of this failed before (15 of 17 of pipelines.rs passed) and pass now; all of ibiscove-http passes.

--- a/crates/http/src/pipeline.rs
+++ b/crates/http/src/pipeline.rs
@@ -89,6 +89,9 @@
     /// Serves a request that hyper has read.
     fn handle(&self, req: Request<Incoming>) -> Self::Future;
 
+    /// Returns whether a request may run beside the others of its pipeline.
+    fn may_start_early(&self, head: &Parts) -> bool;
+
     /// Serves a request without a body before its turn; none if it has to wait.
     fn start_early(&self, head: &Parts) -> Option<Self::Future>;
 }
@@ -110,6 +113,10 @@
         self.0(req)
     }
 
+    fn may_start_early(&self, _head: &Parts) -> bool {
+        false
+    }
+
     fn start_early(&self, _head: &Parts) -> Option<F> {
         None
     }
@@ -136,8 +143,12 @@
         (self.handle)(req.map(RequestBody::Incoming))
     }
 
+    fn may_start_early(&self, head: &Parts) -> bool {
+        (self.may_start)(head)
+    }
+
     fn start_early(&self, head: &Parts) -> Option<F> {
-        (self.may_start)(head).then(|| {
+        self.may_start_early(head).then(|| {
             let req = Request::from_parts(head.clone(), RequestBody::Empty);
             (self.handle)(req)
         })
--- a/crates/http/src/pipeline/look_ahead.rs
+++ b/crates/http/src/pipeline/look_ahead.rs
@@ -22,6 +22,8 @@
 pub(crate) struct Progress {
     is_answering: AtomicBool,
     has_client_left: AtomicBool,
+    /// Whether the request that is being answered allows others to start beside it.
+    allows_early: AtomicBool,
     /// The connection's task, while it has bytes that it will pass on only when the
     /// response has been sent.
     waiting: Mutex<Option<Waker>>,
@@ -33,6 +35,13 @@
         self.has_client_left.load(Ordering::Acquire)
     }
 
+    /// Allows requests to start beside the one that is being answered. Without this,
+    /// they wait: until hyper has parsed that request, and if it may have effects that
+    /// those behind it are to see.
+    pub(crate) fn allow_early(&self) {
+        self.allows_early.store(true, Ordering::Release);
+    }
+
     /// Has the task woken when the response is sent.
     fn wait(&self, cx: &Context<'_>) {
         let mut waiting = self.lock();
@@ -246,6 +255,7 @@
     fn begin(&mut self, rest: u64) {
         self.rest = rest;
         self.is_at_limit = false;
+        self.progress.allows_early.store(false, Ordering::Release);
         self.progress.is_answering.store(true, Ordering::Release);
     }
 
@@ -289,6 +299,9 @@
 
     /// Starts the requests that have been read and need not wait for their turn.
     fn start_early(&mut self) {
+        if !self.progress.allows_early.load(Ordering::Acquire) {
+            return;
+        }
         while !self.is_blocked && self.started.len() < self.settings.max_requests {
             let bytes = &self.buffered[self.started_bytes..];
             if !framing::has_head_end(bytes, self.searched) {
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -93,9 +93,9 @@
     }
 
     /// The same for clients that pipeline requests. Those without a body that
-    /// `may_start` allows are served while the ones before them are being answered,
-    /// within the limits of [`ServerSettings::pipeline`]; only requests that may run
-    /// more than once may be allowed.
+    /// `may_start` allows are served while the ones before them are being answered, if it
+    /// allows these too, within the limits of [`ServerSettings::pipeline`]; only requests
+    /// that may run more than once may be allowed.
     pub async fn run_pipelined<H, M, F, B>(
         self,
         listener: TcpListener,
@@ -216,9 +216,17 @@
         let next = match self.queue.take(&req) {
             Next::NotStarted => {
                 let in_flight = InFlightGuard::new(&self.shared);
+                let (head, body) = req.into_parts();
+                if self.handler.may_start_early(&head) {
+                    self.progress.allow_early();
+                }
+                let req = Request::from_parts(head, body);
                 Ok((EitherAnswer::InTurn(self.handler.handle(req)), in_flight))
             }
-            Next::Started(task, in_flight) => Ok((EitherAnswer::Early(task), in_flight)),
+            Next::Started(task, in_flight) => {
+                self.progress.allow_early();
+                Ok((EitherAnswer::Early(task), in_flight))
+            }
             Next::Mismatch => Err(InFlightGuard::new(&self.shared)),
         };
         async move {
--- a/crates/http/tests/pipelines.rs
+++ b/crates/http/tests/pipelines.rs
@@ -115,6 +115,7 @@
             let at = |event: &str| events.iter().position(|other| other.starts_with(event));
             assert!(at("end /hold/1") < at("start /order"), "{events:?}");
             assert!(at("end /hold/2") < at("start /order"), "{events:?}");
+            assert!(at("end /order") < at("start /4"), "{events:?}");
             assert_eq!(stage.started().len(), 4, "{events:?}");
         }
     });
@@ -405,3 +406,42 @@
         assert_eq!(stage.started(), ["/hold/1", "/hold/2"]);
     });
 }
+
+#[test]
+fn nothing_starts_beside_a_request_that_must_not_be_repeated() {
+    smol::block_on(async {
+        for order in [post("/order/hold", "five!"), get("/order/hold")] {
+            let (addr, _server, stage) = serve(early(16)).await;
+            let mut client = Client::connect(addr).await;
+            client.send([&*order, &*get("/2")].concat()).await;
+            stage.wait_started(&["/order/hold"]).await;
+            // The read has arrived by the time of the release, or arrives later.
+            client.send(get("/3")).await;
+            for _ in 0..1_000 {
+                smol::future::yield_now().await;
+            }
+            stage.release("/order/hold");
+            assert!(client.answer().await.is_some());
+            assert_eq!(client.answer().await, served("/2"));
+            assert_eq!(client.answer().await, served("/3"));
+            let events = stage.events();
+            assert_eq!(events[..2], ["start /order/hold", "end /order/hold"]);
+        }
+    });
+}
+
+#[test]
+fn reads_start_beside_a_request_with_a_body_that_may_be_repeated() {
+    smol::block_on(async {
+        let (addr, _server, stage) = serve(early(16)).await;
+        let mut client = Client::connect(addr).await;
+        let search = post("/hold/search", "words").replacen("POST", "GET", 1);
+        client.send([&*search, &*get("/hold/2")].concat()).await;
+        stage.wait_started(&["/hold/search", "/hold/2"]).await;
+        stage.release("/hold/search");
+        stage.release("/hold/2");
+        let answer = Some((200, false, "/hold/search 5".into()));
+        assert_eq!(client.answer().await, answer);
+        assert_eq!(client.answer().await, served("/hold/2"));
+    });
+}
--- a/crates/http/tests/support/mod.rs
+++ b/crates/http/tests/support/mod.rs
@@ -27,7 +27,7 @@
     max_running: usize,
 }
 
-/// Requests whose path begins with `/hold` end once they are released.
+/// Requests whose path begins or ends with `/hold` end once they are released.
 #[derive(Clone, Default)]
 pub struct Stage {
     log: Arc<Mutex<Log>>,
@@ -94,7 +94,7 @@
         let path = req.uri().path().to_owned();
         let body = req.into_body().collect().await;
         let length = body.map_or(0, |body| body.to_bytes().len());
-        if path.starts_with("/hold") {
+        if path.starts_with("/hold") || path.ends_with("/hold") {
             self.wait_for(|log| log.released.contains(&path)).await;
         }
         self.update(|log| log.events.push(format!("end {path}")));
