Entry: requests start early only with memory for their responses

Cause: an early response for which the budget of responses has no room keeps its slot and its connection to the upstream unread until its turn. Change: with less than 16 x 256 KiB of the budget free, no request starts before its turn. Measured: the router's test of this failed before (three reads met at their upstream with a budget of 1 MiB) and passes now; ibiscove-proxy and the router's pipelines and path pass.

--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -9,7 +9,7 @@
 use crate::headers::{self, HeaderNames};
 use crate::local_upstream::LocalUpstream;
 use crate::refusal::Refusal;
-use crate::relay::RelayedResponse;
+use crate::relay::{RelayedResponse, has_room_for_early_responses};
 use crate::routes::ConfigCell;
 use crate::suspects::Suspects;
 use crate::upstream_notice::KnownNotices;
@@ -184,11 +184,14 @@
 
     /// Returns whether a request without a body may be served before the requests
     /// ahead of it on its connection are answered: its route allows to run it more than
-    /// once.
+    /// once, and there is memory for its response until its turn.
     pub fn may_start_early(&self, head: &hyper::http::request::Parts) -> bool {
         let Some(table) = self.deps().config.get() else {
             return false;
         };
+        if !has_room_for_early_responses(&self.deps().response_budget) {
+            return false;
+        }
         let host = plan::host(head);
         let route = host.and_then(|host| table.find(host, head.uri.path()));
         route.is_some_and(|route| route.kind.is_idempotent())
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -9,6 +9,9 @@
 /// Bytes of a response that are read before it is relayed. Most responses fit,
 /// so a truncated one can be retried.
 const READ_AHEAD_BYTES: usize = 256 << 10;
+/// Memory that must be free before a request is served ahead of its turn: the
+/// beginnings of all responses of a pipeline of common length.
+const EARLY_RESPONSE_BYTES: usize = 16 * READ_AHEAD_BYTES;
 
 /// Keeps the connection and the permit until a response has been streamed.
 pub struct StreamGuard<P> {
@@ -19,6 +22,12 @@
 /// A response on its way to the caller.
 pub type RelayedResponse<P> = Response<Body<StreamGuard<P>>>;
 
+/// Returns whether `budget` has memory for responses that are not sent yet. Without it,
+/// each would hold its permit and its connection until its turn.
+pub fn has_room_for_early_responses(budget: &BodyBudget) -> bool {
+    budget.available() >= EARLY_RESPONSE_BYTES
+}
+
 /// Reads a response's body, or its beginning when it is long or the budget of all
 /// responses has no room for it. If this reads it to its end, the connection is reused
 /// and the permit released.
--- a/crates/router/tests/pipelines.rs
+++ b/crates/router/tests/pipelines.rs
@@ -7,6 +7,7 @@
 use hyper::{Request, Response};
 use ibiscove_http::{Body, Pool, PoolSettings, Server, ServerSettings};
 use ibiscove_proxy::HeaderNames;
+use ibiscove_router::RouterSettings;
 use ibiscove_store::MemoryPlatform;
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::{TcpListener, TcpStream};
@@ -14,7 +15,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicI64;
 use std::sync::{Arc, Mutex, MutexGuard};
-use support::{CountingUpstream, start_node_beside, wait_until_served};
+use support::{CountingUpstream, start_node_beside, start_node_with, wait_until_served};
 
 /// Requests to `/signs/together/ROUND/N` of a round that have to be at the upstream at
 /// a time before it answers any of them.
@@ -128,3 +129,37 @@
         panic!("the requests of a pipeline did not reach their upstream together");
     });
 }
+
+/// Guards against early answers that nobody reads yet, and that keep slots and
+/// connections of the upstream because the node has no memory to take them over.
+#[test]
+fn without_memory_for_their_answers_reads_are_at_their_upstream_in_turn() {
+    smol::block_on(async {
+        let table = MemoryPlatform::default();
+        let meeting = Meeting::default();
+        let upstream = serve_upstream(meeting.clone()).await;
+        let settings = RouterSettings {
+            max_response_memory: 1 << 20,
+            ..RouterSettings::default()
+        };
+        let (router, callers) = start_node_with(
+            settings,
+            91,
+            "gallery",
+            &table,
+            CountingUpstream::default(),
+            upstream,
+            Arc::new(AtomicI64::new(1)),
+        )
+        .await;
+        assert!(router.apply_config("7".into()));
+        let pool = Pool::new(PoolSettings::default());
+        wait_until_served(&pool, callers, "/signs/alone").await;
+        let mut paths = [1, 2, 3].map(|n| format!("/signs/together/0/{n}")).to_vec();
+        paths.push("/signs/last".into());
+        let answers = exchange(callers, &paths).await;
+        assert_eq!(answers.matches("HTTP/1.1 ").count(), paths.len());
+        // The first waits for the two behind it until its deadline.
+        assert!(!answers.starts_with("HTTP/1.1 200"), "{answers}");
+    });
+}
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -139,6 +139,29 @@
     grantee: CountingUpstream,
     upstream_addr: SocketAddr,
     born_ms: Arc<AtomicI64>,
+) -> (TestRouter, SocketAddr) {
+    let settings = RouterSettings::default();
+    start_node_with(
+        settings,
+        number,
+        service,
+        table,
+        grantee,
+        upstream_addr,
+        born_ms,
+    )
+    .await
+}
+
+/// The same with `settings`, but for its names and addresses.
+pub async fn start_node_with(
+    settings: RouterSettings,
+    number: u8,
+    service: &str,
+    table: &MemoryPlatform,
+    grantee: CountingUpstream,
+    upstream_addr: SocketAddr,
+    born_ms: Arc<AtomicI64>,
 ) -> (TestRouter, SocketAddr) {
     let settings = RouterSettings {
         node: format!("node-{number}").into(),
@@ -150,7 +173,7 @@
             upstream: upstream_addr,
             metrics: None,
         },
-        ..RouterSettings::default()
+        ..settings
     };
     let callers = settings.addrs.callers;
     let names = HeaderNames::default();
