HTTP server: a closed connection frees its state before it is read to its end

Cause: while a closed connection was read for up to half a second, its hyper connection stayed in memory, and this was done for clients that never pipelined too. Change: the exchange has its own function, whose end drops all of it; only connections with bytes behind an unanswered request are read after their close.

--- a/crates/http/src/pipeline/look_ahead.rs
+++ b/crates/http/src/pipeline/look_ahead.rs
@@ -22,6 +22,7 @@
 pub(crate) struct Progress {
     is_answering: AtomicBool,
     has_client_left: AtomicBool,
+    has_read_ahead: AtomicBool,
     /// Whether the request that is being answered allows others to start beside it.
     allows_early: AtomicBool,
     /// The connection's task, while it has bytes that it will pass on only when the
@@ -35,6 +36,11 @@
         self.has_client_left.load(Ordering::Acquire)
     }
 
+    /// Returns whether the client has sent bytes behind a request that was not answered.
+    pub(crate) fn has_read_ahead(&self) -> bool {
+        self.has_read_ahead.load(Ordering::Acquire)
+    }
+
     /// Allows requests to start beside the one that is being answered. Without this,
     /// they wait: until hyper has parsed that request, and if it may have effects that
     /// those behind it are to see.
@@ -160,6 +166,14 @@
         Poll::Ready(Ok(len))
     }
 
+    /// Keeps bytes behind the current request.
+    fn keep(&mut self, read: &[u8]) {
+        if !read.is_empty() {
+            self.progress.has_read_ahead.store(true, Ordering::Release);
+            self.buffered.extend_from_slice(read);
+        }
+    }
+
     fn release_if_empty(&mut self) {
         if self.buffered.is_empty() {
             self.buffered = BytesMut::new();
@@ -239,7 +253,7 @@
     fn pass_first(&mut self, framing: &Framing, read: &[u8]) -> usize {
         let total = framing.total_bytes();
         let own = usize::try_from(total).map_or(read.len(), |total| total.min(read.len()));
-        self.buffered.extend_from_slice(&read[own..]);
+        self.keep(&read[own..]);
         self.open_behind(framing);
         self.begin(total - own as u64);
         own
@@ -279,7 +293,7 @@
             }
             match ready!(read)? {
                 0 => return Poll::Ready(Ok(0)),
-                len => self.buffered.extend_from_slice(&chunk[..len]),
+                len => self.keep(&chunk[..len]),
             }
         }
     }
--- a/crates/http/src/pipeline/queue.rs
+++ b/crates/http/src/pipeline/queue.rs
@@ -92,13 +92,6 @@
         !self.lock().early.is_empty()
     }
 
-    /// Cancels all work that was started early; no more is started.
-    pub(crate) fn cancel(&self) {
-        let mut state = self.lock();
-        state.is_closing = true;
-        state.early.clear();
-    }
-
     /// Returns whether the connection closes after the requests that are started.
     pub(crate) fn is_closing(&self) -> bool {
         self.lock().is_closing
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -288,18 +288,36 @@
         log::debug!("HTTP server: connection closed, its options cannot be set: {err}");
         return;
     }
+    let progress = Arc::<Progress>::default();
     let own = Arc::new(Connection {
-        shared: Arc::clone(&shared),
+        shared,
         handler,
         queue: Queue::default(),
-        progress: Arc::default(),
+        progress: Arc::clone(&progress),
     });
+    exchange(own, stream.clone(), settings, &budget).await;
+    if progress.has_read_ahead() && !progress.has_client_left() {
+        linger(stream).await;
+    }
+}
+
+/// Serves the requests of a connection until either side closes it or the server has
+/// drained.
+async fn exchange<H>(
+    own: Arc<Connection<H>>,
+    stream: TcpStream,
+    settings: ServerSettings,
+    budget: &BodyBudget,
+) where
+    H: Handler,
+    <H::Body as HttpBody>::Error: std::error::Error + Send + Sync + 'static,
+{
     let starter = Arc::clone(&own);
     let io = LookAhead::new(
-        stream.clone(),
+        stream,
         settings.pipeline,
         settings.max_head_bytes,
-        &budget,
+        budget,
         Arc::clone(&own.progress),
         move |head: &[u8]| starter.start_early(head),
     );
@@ -308,15 +326,14 @@
         let response = served.serve(req);
         async move { Ok::<_, Infallible>(response.await) }
     });
-    let drained = shared.drain_started.listen();
+    let drained = own.shared.drain_started.listen();
     let connection = http1::Builder::new()
         .timer(SmolTimer)
         .header_read_timeout(settings.head_timeout)
         .max_buf_size(settings.max_head_bytes)
         .serve_connection(FuturesIo::new(io), service);
     let mut connection = std::pin::pin!(connection);
-    let mut has_ended = false;
-    if !shared.is_draining.load(Ordering::Acquire) {
+    if !own.shared.is_draining.load(Ordering::Acquire) {
         let ended = async {
             let _ = connection.as_mut().await;
             true
@@ -325,22 +342,18 @@
             drained.await;
             false
         };
-        has_ended = ended.or(draining).await;
-    }
-    if !has_ended {
-        // With requests that were started early, the response to the last of them
-        // closes the connection.
-        if !own.queue.has_early() {
-            connection.as_mut().graceful_shutdown();
+        if ended.or(draining).await {
+            return;
         }
-        // Errors here are caused by the client: it closed the connection or sent a
-        // malformed request.
-        let _ = connection.await;
     }
-    own.queue.cancel();
-    if settings.pipeline.max_requests > 0 && !own.progress.has_client_left() {
-        linger(stream).await;
+    // With requests that were started early, the response to the last of them closes the
+    // connection.
+    if !own.queue.has_early() {
+        connection.as_mut().graceful_shutdown();
     }
+    // Errors here are caused by the client: it closed the connection or sent a malformed
+    // request.
+    let _ = connection.await;
 }
 
 /// Discards what a client still sends on a connection that this side has closed, for a
--- a/crates/http/tests/pipelines.rs
+++ b/crates/http/tests/pipelines.rs
@@ -5,7 +5,7 @@
 use ibiscove_http::PipelineSettings;
 use smol::future::FutureExt;
 use smol::io::AsyncWriteExt;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use support::{Client, early, get, post, serve, within};
 
 fn served(path: &str) -> Option<(u16, bool, String)> {
@@ -445,3 +445,28 @@
         assert_eq!(client.answer().await, served("/hold/2"));
     });
 }
+
+#[test]
+fn a_connection_without_pipelined_requests_is_not_read_after_its_close() {
+    smol::block_on(async {
+        let (addr, _server, _stage) = serve(early(16)).await;
+        // Half the time for which a connection is read that had pipelined requests. One
+        // that is closed within it suffices, since the machine may be busy.
+        let limit = Duration::from_millis(250);
+        for _ in 0..40 {
+            let mut client = Client::connect(addr).await;
+            client.send(get("/closing")).await;
+            assert_eq!(client.answer().await, last_served("/closing"));
+            assert_eq!(client.answer().await, None);
+            let closed = Instant::now();
+            while closed.elapsed() < limit {
+                if client.stream.write_all(b"G").await.is_err() {
+                    return;
+                }
+                // Few enough bytes that their number does not end the reading.
+                smol::Timer::after(Duration::from_millis(1)).await;
+            }
+        }
+        panic!("the server goes on reading connections that it has closed");
+    });
+}
