HTTP server: one type for how a request is served, tested without network

Cause: Next and EitherAnswer said the same, and nothing tested what follows when the look-ahead and hyper read a request in two ways. Change: Queue::take starts a request in its turn or takes what was started; Next gives the response, 400 on a mismatch.

--- a/crates/http/src/pipeline.rs
+++ b/crates/http/src/pipeline.rs
@@ -10,7 +10,7 @@
 mod queue;
 
 pub(crate) use look_ahead::{LookAhead, Progress};
-pub(crate) use queue::{Next, Queue, finish_head};
+pub(crate) use queue::{Queue, finish_head};
 
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use hyper::body::{Bytes, Incoming};
--- a/crates/http/src/pipeline/queue.rs
+++ b/crates/http/src/pipeline/queue.rs
@@ -3,7 +3,7 @@
 use crate::server::InFlightGuard;
 use hyper::header::{CONNECTION, HeaderMap, HeaderValue};
 use hyper::http::request::Parts;
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use smol::Task;
 use std::collections::VecDeque;
 use std::future::Future;
@@ -27,15 +27,35 @@
 }
 
 /// How the request that hyper has read is served.
-pub(crate) enum Next<B> {
-    /// It has not been started.
-    NotStarted,
+pub(crate) enum Next<F, B> {
+    /// It has been started now.
+    InTurn(F),
     /// It was started early.
-    Started(Task<Response<B>>, InFlightGuard),
+    Early(Task<Response<B>>),
     /// It differs from the one that was started in its place.
     Mismatch,
 }
 
+impl<F: Future<Output = Response<B>>, B> Next<F, B> {
+    /// Returns whether the request was started early.
+    pub(crate) fn is_early(&self) -> bool {
+        matches!(self, Self::Early(_))
+    }
+
+    /// Waits for the response. It has no body if the request is refused.
+    pub(crate) async fn response(self) -> Response<Option<B>> {
+        match self {
+            Self::InTurn(answer) => answer.await.map(Some),
+            Self::Early(task) => task.await.map(Some),
+            Self::Mismatch => {
+                let mut refusal = Response::new(None);
+                *refusal.status_mut() = StatusCode::BAD_REQUEST;
+                refusal
+            }
+        }
+    }
+}
+
 impl<B> Default for Queue<B> {
     fn default() -> Self {
         Self {
@@ -64,25 +84,31 @@
         });
     }
 
-    /// Takes the next request if it was started early. One that differs from what was
-    /// started in its place cancels all of them.
-    pub(crate) fn take<R>(&self, req: &Request<R>) -> Next<B> {
+    /// Takes what was started early for a request, or starts it with `start`. A request
+    /// that differs from what was started in its place cancels all of them.
+    pub(crate) fn take<R, F>(
+        &self,
+        req: Request<R>,
+        start: impl FnOnce(Request<R>) -> (F, InFlightGuard),
+    ) -> (Next<F, B>, InFlightGuard) {
         let mut state = self.lock();
         let Some(early) = state.early.pop_front() else {
-            return Next::NotStarted;
+            drop(state);
+            let (answer, in_flight) = start(req);
+            return (Next::InTurn(answer), in_flight);
         };
         let is_same = early.head.method == *req.method()
             && early.head.uri == *req.uri()
             && early.head.version == req.version()
             && early.head.headers == *req.headers();
         if is_same {
-            return Next::Started(early.answer, early.in_flight);
+            return (Next::Early(early.answer), early.in_flight);
         }
         state.is_closing = true;
         state.early.clear();
         metrics::counter!("ibiscove_pipelined_mismatches_total").increment(1);
         log::warn!("HTTP server: connection closed, a pipelined request was read in two ways");
-        Next::Mismatch
+        (Next::Mismatch, early.in_flight)
     }
 }
 
@@ -123,3 +149,7 @@
         names.any(|name| name.trim_ascii().eq_ignore_ascii_case(b"close"))
     })
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/queue.rs"]
+mod tests;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -3,7 +3,7 @@
 use crate::body::BodyBudget;
 use crate::pipeline::look_ahead::AnswerGuard;
 use crate::pipeline::{
-    Handler, InTurn, LookAhead, Next, PipelineSettings, Pipelined, Progress, Queue, RequestBody,
+    Handler, InTurn, LookAhead, PipelineSettings, Pipelined, Progress, Queue, RequestBody,
     finish_head, framing,
 };
 use crate::socket;
@@ -15,7 +15,7 @@
 use hyper::rt::{Sleep, Timer};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response};
 use smol::future::FutureExt;
 use smol::io::AsyncReadExt;
 use smol::net::{TcpListener, TcpStream};
@@ -73,6 +73,12 @@
     in_flight: AtomicUsize,
 }
 
+impl ServerState {
+    pub(crate) fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Acquire)
+    }
+}
+
 impl Server {
     /// Accepts connections of `listener` until the returned future is dropped.
     /// Each request is served by `handle`, whose future is dropped when the
@@ -144,7 +150,7 @@
 
     /// Returns the number of requests whose response has not been sent.
     pub fn in_flight(&self) -> usize {
-        self.shared.in_flight.load(Ordering::Acquire)
+        self.shared.in_flight()
     }
 }
 
@@ -152,7 +158,7 @@
 pub(crate) struct InFlightGuard(Arc<ServerState>);
 
 impl InFlightGuard {
-    fn new(shared: &Arc<ServerState>) -> Self {
+    pub(crate) fn new(shared: &Arc<ServerState>) -> Self {
         shared.in_flight.fetch_add(1, Ordering::AcqRel);
         Self(Arc::clone(shared))
     }
@@ -213,34 +219,12 @@
     ) -> impl Future<Output = Response<AnswerBody<H::Body>>> + use<H> {
         let own = Arc::clone(self);
         let answer = AnswerGuard::new(&self.progress);
-        let next = match self.queue.take(&req) {
-            Next::NotStarted => {
-                let in_flight = InFlightGuard::new(&self.shared);
-                let (head, body) = req.into_parts();
-                if self.handler.may_start_early(&head) {
-                    self.progress.allow_early();
-                }
-                let req = Request::from_parts(head, body);
-                Ok((EitherAnswer::InTurn(self.handler.handle(req)), in_flight))
-            }
-            Next::Started(task, in_flight) => {
-                self.progress.allow_early();
-                Ok((EitherAnswer::Early(task), in_flight))
-            }
-            Next::Mismatch => Err(InFlightGuard::new(&self.shared)),
-        };
+        let (next, in_flight) = self.queue.take(req, |req| self.start_in_turn(req));
+        if next.is_early() {
+            self.progress.allow_early();
+        }
         async move {
-            let (response, in_flight) = match next {
-                Ok((EitherAnswer::InTurn(answer), in_flight)) => {
-                    (answer.await.map(Some), in_flight)
-                }
-                Ok((EitherAnswer::Early(task), in_flight)) => (task.await.map(Some), in_flight),
-                Err(in_flight) => {
-                    let mut refusal = Response::new(None);
-                    *refusal.status_mut() = StatusCode::BAD_REQUEST;
-                    (refusal, in_flight)
-                }
-            };
+            let response = next.response().await;
             let mut response = response.map(|body| AnswerBody {
                 body,
                 _in_flight: in_flight,
@@ -252,6 +236,17 @@
         }
     }
 
+    /// Starts a request in its turn.
+    fn start_in_turn(&self, req: Request<Incoming>) -> (H::Future, InFlightGuard) {
+        let in_flight = InFlightGuard::new(&self.shared);
+        let (head, body) = req.into_parts();
+        if self.handler.may_start_early(&head) {
+            self.progress.allow_early();
+        }
+        let req = Request::from_parts(head, body);
+        (self.handler.handle(req), in_flight)
+    }
+
     /// Starts a request before its turn if that is allowed.
     fn start_early(&self, head: &[u8]) -> bool {
         if self.shared.is_draining.load(Ordering::Acquire) || self.queue.is_closing() {
@@ -269,11 +264,6 @@
     }
 }
 
-enum EitherAnswer<F, T> {
-    InTurn(F),
-    Early(T),
-}
-
 async fn serve_connection<H>(
     shared: Arc<ServerState>,
     stream: TcpStream,
