--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -3,7 +3,7 @@
 use crate::body::BodyBudget;
 use crate::pipeline::look_ahead::AnswerGuard;
 use crate::pipeline::{
-    Handler, InTurn, LookAhead, Next, PipelineSettings, Pipelined, Progress, Queue, RequestBody,
+    Handler, InTurn, LookAhead, PipelineSettings, Pipelined, Progress, Queue, RequestBody,
     finish_head, framing,
 };
 use crate::socket;
@@ -15,7 +15,7 @@
 use hyper::rt::{Sleep, Timer};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response};
 use smol::future::FutureExt;
 use smol::io::AsyncReadExt;
 use smol::net::{TcpListener, TcpStream};
@@ -73,6 +73,12 @@
     in_flight: AtomicUsize,
 }
 
+impl ServerState {
+    pub(crate) fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Acquire)
+    }
+}
+
 impl Server {
     /// Accepts connections of `listener` until the returned future is dropped.
     /// Each request is served by `handle`, whose future is dropped when the
@@ -93,9 +99,9 @@
     }
 
     /// The same for clients that pipeline requests. Those without a body that
-    /// `may_start` allows are served while the ones before them are being answered,
-    /// within the limits of [`ServerSettings::pipeline`]; only requests that may run
-    /// more than once may be allowed.
+    /// `may_start` allows are served while the ones before them are being answered, if it
+    /// allows these too, within the limits of [`ServerSettings::pipeline`]; only requests
+    /// that may run more than once may be allowed.
     pub async fn run_pipelined<H, M, F, B>(
         self,
         listener: TcpListener,
@@ -144,7 +150,7 @@
 
     /// Returns the number of requests whose response has not been sent.
     pub fn in_flight(&self) -> usize {
-        self.shared.in_flight.load(Ordering::Acquire)
+        self.shared.in_flight()
     }
 }
 
@@ -152,7 +158,7 @@
 pub(crate) struct InFlightGuard(Arc<ServerState>);
 
 impl InFlightGuard {
-    fn new(shared: &Arc<ServerState>) -> Self {
+    pub(crate) fn new(shared: &Arc<ServerState>) -> Self {
         shared.in_flight.fetch_add(1, Ordering::AcqRel);
         Self(Arc::clone(shared))
     }
@@ -213,26 +219,12 @@
     ) -> impl Future<Output = Response<AnswerBody<H::Body>>> + use<H> {
         let own = Arc::clone(self);
         let answer = AnswerGuard::new(&self.progress);
-        let next = match self.queue.take(&req) {
-            Next::NotStarted => {
-                let in_flight = InFlightGuard::new(&self.shared);
-                Ok((EitherAnswer::InTurn(self.handler.handle(req)), in_flight))
-            }
-            Next::Started(task, in_flight) => Ok((EitherAnswer::Early(task), in_flight)),
-            Next::Mismatch => Err(InFlightGuard::new(&self.shared)),
-        };
+        let (next, in_flight) = self.queue.take(req, |req| self.start_in_turn(req));
+        if next.is_early() {
+            self.progress.allow_early();
+        }
         async move {
-            let (response, in_flight) = match next {
-                Ok((EitherAnswer::InTurn(answer), in_flight)) => {
-                    (answer.await.map(Some), in_flight)
-                }
-                Ok((EitherAnswer::Early(task), in_flight)) => (task.await.map(Some), in_flight),
-                Err(in_flight) => {
-                    let mut refusal = Response::new(None);
-                    *refusal.status_mut() = StatusCode::BAD_REQUEST;
-                    (refusal, in_flight)
-                }
-            };
+            let response = next.response().await;
             let mut response = response.map(|body| AnswerBody {
                 body,
                 _in_flight: in_flight,
@@ -244,6 +236,17 @@
         }
     }
 
+    /// Starts a request in its turn.
+    fn start_in_turn(&self, req: Request<Incoming>) -> (H::Future, InFlightGuard) {
+        let in_flight = InFlightGuard::new(&self.shared);
+        let (head, body) = req.into_parts();
+        if self.handler.may_start_early(&head) {
+            self.progress.allow_early();
+        }
+        let req = Request::from_parts(head, body);
+        (self.handler.handle(req), in_flight)
+    }
+
     /// Starts a request before its turn if that is allowed.
     fn start_early(&self, head: &[u8]) -> bool {
         if self.shared.is_draining.load(Ordering::Acquire) || self.queue.is_closing() {
@@ -261,11 +264,6 @@
     }
 }
 
-enum EitherAnswer<F, T> {
-    InTurn(F),
-    Early(T),
-}
-
 async fn serve_connection<H>(
     shared: Arc<ServerState>,
     stream: TcpStream,
@@ -280,18 +278,36 @@
         log::debug!("HTTP server: connection closed, its options cannot be set: {err}");
         return;
     }
+    let progress = Arc::<Progress>::default();
     let own = Arc::new(Connection {
-        shared: Arc::clone(&shared),
+        shared,
         handler,
         queue: Queue::default(),
-        progress: Arc::default(),
+        progress: Arc::clone(&progress),
     });
+    exchange(own, stream.clone(), settings, &budget).await;
+    if progress.has_read_ahead() && !progress.has_client_left() {
+        linger(stream).await;
+    }
+}
+
+/// Serves the requests of a connection until either side closes it or the server has
+/// drained.
+async fn exchange<H>(
+    own: Arc<Connection<H>>,
+    stream: TcpStream,
+    settings: ServerSettings,
+    budget: &BodyBudget,
+) where
+    H: Handler,
+    <H::Body as HttpBody>::Error: std::error::Error + Send + Sync + 'static,
+{
     let starter = Arc::clone(&own);
     let io = LookAhead::new(
-        stream.clone(),
+        stream,
         settings.pipeline,
         settings.max_head_bytes,
-        &budget,
+        budget,
         Arc::clone(&own.progress),
         move |head: &[u8]| starter.start_early(head),
     );
@@ -300,15 +316,14 @@
         let response = served.serve(req);
         async move { Ok::<_, Infallible>(response.await) }
     });
-    let drained = shared.drain_started.listen();
+    let drained = own.shared.drain_started.listen();
     let connection = http1::Builder::new()
         .timer(SmolTimer)
         .header_read_timeout(settings.head_timeout)
         .max_buf_size(settings.max_head_bytes)
         .serve_connection(FuturesIo::new(io), service);
     let mut connection = std::pin::pin!(connection);
-    let mut has_ended = false;
-    if !shared.is_draining.load(Ordering::Acquire) {
+    if !own.shared.is_draining.load(Ordering::Acquire) {
         let ended = async {
             let _ = connection.as_mut().await;
             true
@@ -317,22 +332,18 @@
             drained.await;
             false
         };
-        has_ended = ended.or(draining).await;
-    }
-    if !has_ended {
-        // With requests that were started early, the response to the last of them
-        // closes the connection.
-        if !own.queue.has_early() {
-            connection.as_mut().graceful_shutdown();
+        if ended.or(draining).await {
+            return;
         }
-        // Errors here are caused by the client: it closed the connection or sent a
-        // malformed request.
-        let _ = connection.await;
     }
-    own.queue.cancel();
-    if settings.pipeline.max_requests > 0 && !own.progress.has_client_left() {
-        linger(stream).await;
+    // With requests that were started early, the response to the last of them closes the
+    // connection.
+    if !own.queue.has_early() {
+        connection.as_mut().graceful_shutdown();
     }
+    // Errors here are caused by the client: it closed the connection or sent a malformed
+    // request.
+    let _ = connection.await;
 }
 
 /// Discards what a client still sends on a connection that this side has closed, for a
--- a/crates/http/tests/pipelines.rs
+++ b/crates/http/tests/pipelines.rs
@@ -5,7 +5,7 @@
 use ibiscove_http::PipelineSettings;
 use smol::future::FutureExt;
 use smol::io::AsyncWriteExt;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use support::{Client, early, get, post, serve, within};
 
 fn served(path: &str) -> Option<(u16, bool, String)> {
@@ -115,6 +115,7 @@
             let at = |event: &str| events.iter().position(|other| other.starts_with(event));
             assert!(at("end /hold/1") < at("start /order"), "{events:?}");
             assert!(at("end /hold/2") < at("start /order"), "{events:?}");
+            assert!(at("end /order") < at("start /4"), "{events:?}");
             assert_eq!(stage.started().len(), 4, "{events:?}");
         }
     });
@@ -405,3 +406,67 @@
         assert_eq!(stage.started(), ["/hold/1", "/hold/2"]);
     });
 }
+
+#[test]
+fn nothing_starts_beside_a_request_that_must_not_be_repeated() {
+    smol::block_on(async {
+        for order in [post("/order/hold", "five!"), get("/order/hold")] {
+            let (addr, _server, stage) = serve(early(16)).await;
+            let mut client = Client::connect(addr).await;
+            client.send([&*order, &*get("/2")].concat()).await;
+            stage.wait_started(&["/order/hold"]).await;
+            // The read has arrived by the time of the release, or arrives later.
+            client.send(get("/3")).await;
+            for _ in 0..1_000 {
+                smol::future::yield_now().await;
+            }
+            stage.release("/order/hold");
+            assert!(client.answer().await.is_some());
+            assert_eq!(client.answer().await, served("/2"));
+            assert_eq!(client.answer().await, served("/3"));
+            let events = stage.events();
+            assert_eq!(events[..2], ["start /order/hold", "end /order/hold"]);
+        }
+    });
+}
+
+#[test]
+fn reads_start_beside_a_request_with_a_body_that_may_be_repeated() {
+    smol::block_on(async {
+        let (addr, _server, stage) = serve(early(16)).await;
+        let mut client = Client::connect(addr).await;
+        let search = post("/hold/search", "words").replacen("POST", "GET", 1);
+        client.send([&*search, &*get("/hold/2")].concat()).await;
+        stage.wait_started(&["/hold/search", "/hold/2"]).await;
+        stage.release("/hold/search");
+        stage.release("/hold/2");
+        let answer = Some((200, false, "/hold/search 5".into()));
+        assert_eq!(client.answer().await, answer);
+        assert_eq!(client.answer().await, served("/hold/2"));
+    });
+}
+
+#[test]
+fn a_connection_without_pipelined_requests_is_not_read_after_its_close() {
+    smol::block_on(async {
+        let (addr, _server, _stage) = serve(early(16)).await;
+        // Half the time for which a connection is read that had pipelined requests. One
+        // that is closed within it suffices, since the machine may be busy.
+        let limit = Duration::from_millis(250);
+        for _ in 0..40 {
+            let mut client = Client::connect(addr).await;
+            client.send(get("/closing")).await;
+            assert_eq!(client.answer().await, last_served("/closing"));
+            assert_eq!(client.answer().await, None);
+            let closed = Instant::now();
+            while closed.elapsed() < limit {
+                if client.stream.write_all(b"G").await.is_err() {
+                    return;
+                }
+                // Few enough bytes that their number does not end the reading.
+                smol::Timer::after(Duration::from_millis(1)).await;
+            }
+        }
+        panic!("the server goes on reading connections that it has closed");
+    });
+}
