Slow start: stale announcements, warm baseline, checks while growing

Change: admission keeps the newest announcement (one lock, no order of locks) and ignores any that is not newer; a newer one replaces a health answer's time; health answers are clamped to cold-start-s; latencies of requests that started warm make a baseline of their own; refusals name at least the time until the slow start allows a start.

--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -225,6 +225,7 @@
         // A caller that disconnects earlier does not indicate a hung upstream.
         if now + MAX_CLOCK_DIFFERENCE >= self.deadline {
             Inner::record_attempt(&self.gate, false, now);
+            self.gate.record_abandoned(now);
         }
     }
 }
@@ -369,6 +370,7 @@
         let inner = &self.inner;
         loop {
             let due = inner.pacing_due.listen();
+            self.check_if_due(inner.clock.now());
             let delay = inner.admission().pacing_delay(inner.clock.now());
             match delay {
                 None => due.await,
@@ -500,7 +502,7 @@
         if let (Some(key), Some(keys)) = (metadata.key, self.inner.key_ownership.get()) {
             keys.record_work(key, elapsed);
         }
-        self.record_pace(metadata, &upstream, &result, elapsed, now);
+        self.record_pace(metadata, &result, elapsed, now);
         if result.is_ok() {
             self.inner.local_upstream.record_response(now);
             self.record_latency(metadata, elapsed);
@@ -592,7 +594,8 @@
         let admitted = async { queued.rx.recv().await.unwrap_or(Err(Duration::ZERO)) };
         let too_late = async {
             self.inner.clock.sleep(max_wait).await;
-            Err(self.inner.admission().drain_time())
+            let now = self.inner.clock.now();
+            Err(self.inner.admission().retry_after(now))
         };
         let admitted = admitted.or(too_late).await;
         let waited = self.inner.clock.now().saturating_duration_since(now);
--- a/crates/proxy/src/gate/exchange.rs
+++ b/crates/proxy/src/gate/exchange.rs
@@ -87,6 +87,7 @@
             let status = exchange.response.status().as_u16();
             log::info!(request = &*metadata.request_id, status, echoes;
                 "upstream did not run the request");
+            self.record_upstream_refusal(exchange.response.status());
             return Err(Refusal::not_run(Reason::UpstreamRefused));
         }
         let is_success = exchange.response.status().is_success();
--- a/crates/proxy/src/gate/slow_start.rs
+++ b/crates/proxy/src/gate/slow_start.rs
@@ -8,11 +8,13 @@
 use crate::refusal::Refusal;
 use crate::relay::{RelayedResponse, read_response};
 use crate::routes::ColdStart;
-use hyper::{Method, Request, Uri};
+use hyper::{Method, Request, StatusCode, Uri};
 use ibiscove_http::Body;
-use ibiscove_routing::slow_start::{Answer, Change, ColdLimit};
+use ibiscove_routing::latency_estimate::LatencyEstimate;
+use ibiscove_routing::slow_start::{Answer, Change, ColdAnnouncement, ColdLimit};
 use ibiscove_types::{Clock, Reason, UpstreamIncarnation};
 use smol::future::FutureExt;
+use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -24,45 +26,63 @@
 
 /// What the gate knows of its upstream's slow start, besides its admission.
 #[derive(Default)]
-pub(super) struct SlowStartState(Mutex<Known>);
-
-#[derive(Default)]
-struct Known {
-    cold_start: Option<ColdStart>,
-    /// The announcement that admission was last told of.
-    announced: Option<(UpstreamIncarnation, u64)>,
+pub(super) struct SlowStartState {
+    cold_start: Mutex<Option<ColdStart>>,
+    /// Latency of each route's requests that started while the upstream was warm, by
+    /// which slow answers are told.
+    warm_latencies: Mutex<HashMap<Arc<str>, LatencyEstimate>>,
 }
 
 impl SlowStartState {
-    fn lock(&self) -> MutexGuard<'_, Known> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    fn cold_start(&self) -> MutexGuard<'_, Option<ColdStart>> {
+        self.cold_start
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn warm_latencies(&self) -> MutexGuard<'_, HashMap<Arc<str>, LatencyEstimate>> {
+        self.warm_latencies
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns a latency relative to the usual one of its route, and lets that one learn
+    /// from it if the upstream was warm.
+    fn relative_latency(
+        &self,
+        route: &Arc<str>,
+        initial: LatencyEstimate,
+        elapsed: Duration,
+        was_warm: bool,
+    ) -> f64 {
+        let mut latencies = self.warm_latencies();
+        let usual = latencies.get(route).copied().unwrap_or(initial);
+        if was_warm {
+            let warm = latencies.entry(Arc::clone(route)).or_insert(initial);
+            warm.record(elapsed);
+        }
+        let mean = usual.mean().max(Duration::from_millis(1));
+        elapsed.div_duration_f64(mean)
     }
 }
 
 impl<K, C> Inner<K, C> {
-    /// Tells admission what a new announcement says of the upstream's caches.
+    /// Tells admission what an announcement says of the upstream's caches.
     pub(super) fn observe_announcement(&self, upstream: &ObservedUpstream, now: Instant) {
         let announcement = &upstream.announcement;
-        let is_successor = {
-            let mut known = self.slow_start.lock();
-            let announced = known.announced.as_ref();
-            let is_known = announced.is_some_and(|(incarnation, sequence)| {
-                *incarnation == announcement.incarnation && *sequence == announcement.sequence
-            });
-            if is_known || known.cold_start.is_none() {
-                return;
-            }
-            let is_successor =
-                announced.is_some_and(|(incarnation, _)| *incarnation != announcement.incarnation);
-            known.announced = Some((announcement.incarnation.clone(), announcement.sequence));
-            is_successor
-        };
-        let until = upstream.received_at + announcement.warm_up_remaining;
         let mut admission = self.admission();
-        if is_successor {
-            admission.slow_start().record_successor();
+        if !admission.slow_start().is_enabled() {
+            return;
         }
-        let change = admission.slow_start().record_cold_until(until, now);
+        let change = admission.slow_start().record_announcement(
+            ColdAnnouncement {
+                incarnation: &announcement.incarnation,
+                sequence: announcement.sequence,
+                cold_left: announcement.warm_up_remaining,
+                received_at: upstream.received_at,
+            },
+            now,
+        );
         let rate = admission.slow_start().rate();
         drop(admission);
         report(change, rate);
@@ -77,23 +97,26 @@
         report(change, rate);
     }
 
-    /// Records how a request ended. Returns whether the upstream is to be asked for
-    /// its state.
-    fn record_answer(self: &Arc<Self>, answer: Answer, now: Instant) -> bool {
+    /// Records how a request ended.
+    fn record_answer(self: &Arc<Self>, answer: Answer, now: Instant) {
         let mut admission = self.admission();
         if !admission.slow_start().is_enabled() {
-            return false;
+            return;
         }
         let full_rate = admission.full_rate();
         let change = admission.slow_start().record_answer(answer, full_rate, now);
-        let is_check_due = admission.slow_start().take_check(now);
         let rate = admission.slow_start().rate();
         let dequeued = admission.dequeue(now);
         drop(admission);
         report(change, rate);
         Self::notify(self, dequeued);
         self.pacing_due.notify(1);
-        is_check_due
+    }
+
+    /// Records that a request was abandoned at its deadline.
+    pub(super) fn record_abandoned(&self, now: Instant) {
+        self.admission().slow_start().record_abandoned(now);
+        self.pacing_due.notify(1);
     }
 }
 
@@ -107,11 +130,7 @@
             max_per_second: cold_start.max_rate * settings.cold_rate_factor
                 + settings.cold_rate_slack,
         });
-        {
-            let mut known = self.inner.slow_start.lock();
-            known.cold_start = cold_start;
-            known.announced = None;
-        }
+        *self.inner.slow_start.cold_start() = cold_start;
         let now = self.inner.clock.now();
         let dequeued = {
             let mut admission = self.inner.admission();
@@ -134,27 +153,55 @@
     pub(super) fn record_pace(
         &self,
         metadata: &RequestMetadata,
-        upstream: &ObservedUpstream,
         result: &Result<RelayedResponse<Permit<K, C>>, Refusal>,
         elapsed: Duration,
         now: Instant,
     ) {
+        let was_warm = {
+            let mut admission = self.inner.admission();
+            if !admission.slow_start().is_enabled() {
+                return;
+            }
+            let started = now.checked_sub(elapsed).unwrap_or(now);
+            admission.slow_start().was_warm(started)
+        };
         let answer = match result {
             Ok(response) if response.status().is_server_error() => Answer::Failed,
             Ok(_) => {
-                let usual = self.latency_estimate(metadata).mean();
-                let usual = usual.max(Duration::from_millis(1));
-                Answer::Answered(elapsed.div_duration_f64(usual))
+                let initial = self.latency_estimate(metadata);
+                let state = &self.inner.slow_start;
+                let latency = state.relative_latency(&metadata.route, initial, elapsed, was_warm);
+                Answer::Answered(latency)
             }
             Err(refusal) => match refusal.reason {
-                Reason::UpstreamRefused => Answer::Refused,
+                // Recorded when it is read: not all mean that there is no room.
+                Reason::UpstreamRefused => return,
                 Reason::DeadlineExceeded => Answer::Failed,
                 _ => Answer::Lost,
             },
         };
-        if self.inner.record_answer(answer, now) {
+        self.inner.record_answer(answer, now);
+        self.check_if_due(now);
+    }
+
+    /// Records that the upstream refused a request. One that is not meant for it says
+    /// nothing about its pace.
+    pub(super) fn record_upstream_refusal(&self, status: StatusCode) {
+        if status != StatusCode::MISDIRECTED_REQUEST {
+            let now = self.inner.clock.now();
+            self.inner.record_answer(Answer::Refused, now);
+        }
+    }
+
+    /// Asks the upstream whether it has turned cold if its answers call for it.
+    pub(super) fn check_if_due(&self, now: Instant) {
+        if !self.inner.admission().slow_start().take_check(now) {
+            return;
+        }
+        let current = self.inner.local_upstream.current();
+        if let Some(upstream) = current.filter(|upstream| upstream.draining_since.is_none()) {
             let gate = self.clone();
-            let incarnation = upstream.announcement.incarnation.clone();
+            let incarnation = upstream.announcement.incarnation;
             smol::spawn(async move { gate.check_health(incarnation).await }).detach();
         }
     }
@@ -162,8 +209,10 @@
     /// Asks the upstream for how long it stays cold.
     async fn check_health(self, incarnation: UpstreamIncarnation) {
         let inner = &self.inner;
-        let path = inner.slow_start.lock().cold_start.clone();
-        let Some(path) = path.and_then(|cold_start| cold_start.health_path) else {
+        let Some(cold_start) = inner.slow_start.cold_start().clone() else {
+            return;
+        };
+        let Some(path) = cold_start.health_path else {
             return;
         };
         metrics::counter!("ibiscove_upstream_health_checks_total").increment(1);
@@ -189,7 +238,10 @@
             None
         };
         match answer.or(timeout).await {
-            Some(Some(cold)) => self.record_health(&incarnation, cold),
+            Some(Some(cold)) => {
+                let longest = cold_start.max_duration.unwrap_or(MAX_COLD);
+                self.record_health(&incarnation, cold.min(longest));
+            }
             Some(None) => {
                 metrics::counter!("ibiscove_upstream_health_malformed_total").increment(1);
                 log::warn!(upstream = &*incarnation.id;
@@ -201,12 +253,11 @@
     }
 
     fn record_health(&self, incarnation: &UpstreamIncarnation, cold: Duration) {
-        let current = self.inner.local_upstream.current();
-        if current.is_none_or(|current| current.announcement.incarnation != *incarnation) {
-            return;
-        }
         let now = self.inner.clock.now();
         let mut admission = self.inner.admission();
+        if !admission.slow_start().is_announced(incarnation) {
+            return;
+        }
         let change = admission.slow_start().record_cold_until(now + cold, now);
         let rate = admission.slow_start().rate();
         drop(admission);
--- a/crates/proxy/src/routes.rs
+++ b/crates/proxy/src/routes.rs
@@ -89,6 +89,8 @@
     pub max_rate: f64,
     /// Where upstreams answer health checks, which tell for how long they stay cold.
     pub health_path: Option<PathAndQuery>,
+    /// Longest time for which a health answer may say that an upstream stays cold.
+    pub max_duration: Option<Duration>,
 }
 
 /// The configuration of a service.
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -103,6 +103,7 @@
     };
     let frail = Service {
         cold_start: Some(ColdStart {
+            max_duration: None,
             max_rate: FRAIL_RATE,
             health_path: Some(PathAndQuery::from_static("/healthz")),
         }),
--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -229,7 +229,7 @@
         self.record_arrival(&req, now);
         if self.is_probing && self.running > 0 {
             return AdmissionDecision::Refuse {
-                retry_after: self.drain_time(),
+                retry_after: self.retry_after(now),
             };
         }
         if self.running < self.concurrency && self.waiting.is_empty() && self.is_paced(now) {
@@ -248,7 +248,7 @@
         let should_run_elsewhere = ticket.misses_target && !req.may_miss_target;
         if is_starved || should_run_elsewhere || now + required > req.deadline {
             return AdmissionDecision::Refuse {
-                retry_after: self.drain_time(),
+                retry_after: self.retry_after(now),
             };
         }
         self.next_sequence += 1;
@@ -321,7 +321,7 @@
             }
             self.record_late_result(&ticket, !cannot_finish);
             if cannot_finish {
-                dequeued.push(Dequeued::Refuse(item, self.drain_time()));
+                dequeued.push(Dequeued::Refuse(item, self.retry_after(now)));
                 continue;
             }
             self.record_nested_share(&req);
@@ -356,7 +356,7 @@
         if hopeless.is_empty() {
             return Vec::new();
         }
-        let retry_after = self.drain_time();
+        let retry_after = self.retry_after(now);
         let mut refused = Vec::with_capacity(hopeless.len());
         for ticket in hopeless {
             if let Some((_, item)) = self.waiting.remove(&ticket) {
@@ -436,6 +436,13 @@
         self.per_slot(waiting + self.running_work / 2)
     }
 
+    /// Returns the time after which a refused request may come again: when the load has
+    /// drained, and a slow start allows another start.
+    pub fn retry_after(&self, now: Instant) -> Duration {
+        let delay = self.slow_start.delay(now).unwrap_or_default();
+        self.drain_time().max(delay)
+    }
+
     /// Returns whether the limits of the upstream allow a request to start.
     fn is_paced(&self, now: Instant) -> bool {
         self.start_delay(now).is_none_or(|delay| delay.is_zero())
--- a/crates/routing/src/slow_start.rs
+++ b/crates/routing/src/slow_start.rs
@@ -11,6 +11,7 @@
 //! earlier.
 
 use crate::pacing::Pacer;
+use ibiscove_types::UpstreamIncarnation;
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
@@ -46,6 +47,9 @@
 /// Share of a window's limit that may start after the last sign that the upstream is
 /// warm before a health check is worth its cost.
 const UNCHECKED_SHARE: f64 = 0.25;
+/// Time after a health answer within which an announcement may arrive that was sent
+/// before it.
+const ANNOUNCEMENT_DELAY: Duration = Duration::from_secs(1);
 /// Time between two health checks.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -61,17 +65,30 @@
 impl ColdLimit {
     /// Returns the number of requests that may start within any second.
     fn window_limit(&self) -> usize {
-        (self.max_per_second.max(self.rate) * USED_SHARE).max(1.0) as usize
+        (self.max_per_second * USED_SHARE).max(1.0) as usize
     }
 }
 
+/// What an announcement of the upstream says of its caches.
+#[derive(Clone, Copy, Debug)]
+pub struct ColdAnnouncement<'a> {
+    /// The incarnation that announced itself.
+    pub incarnation: &'a UpstreamIncarnation,
+    /// Increases with each announcement of an incarnation.
+    pub sequence: u64,
+    /// Time for which it stays cold; zero says that it is warm.
+    pub cold_left: Duration,
+    /// When the announcement was received.
+    pub received_at: Instant,
+}
+
 /// How a request ended at the upstream.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Answer {
     /// It was answered; its latency relative to the usual one of its kind.
     Answered(f64),
     /// It failed or was not answered in time, possibly for want of another service,
-    /// which says nothing about the pace.
+    /// which says nothing about the pace but may mean that the upstream has turned cold.
     Failed,
     /// The upstream refused it because it has no room.
     Refused,
@@ -83,9 +100,13 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Stage {
     /// The upstream is cold until a time.
-    Cold { until: Instant },
-    /// The rate grows with good answers.
-    Growing,
+    Cold {
+        until: Instant,
+        /// When a health answer said so; none if an announcement did.
+        checked_at: Option<Instant>,
+    },
+    /// The rate grows with good answers to what has started since.
+    Growing { since: Instant },
 }
 
 /// A change that is worth a line in the log.
@@ -102,6 +123,8 @@
 pub struct SlowStart {
     limit: Option<ColdLimit>,
     limited: Option<Limited>,
+    /// The newest announcement.
+    announced: Option<(UpstreamIncarnation, u64)>,
     /// The last starts, oldest first; as many as one second may have.
     recent: VecDeque<Instant>,
     /// Good answers in this round.
@@ -125,14 +148,20 @@
     /// Starts since the upstream last said that it is warm.
     unchecked: f64,
     checked_at: Option<Instant>,
-    has_lost: bool,
+    /// Whether a request has got no answer, or a failure.
+    has_failed: bool,
 }
 
 impl SlowStart {
     /// Sets what the upstream takes while it is cold; without a limit there is no slow
     /// start, and one in progress ends.
     pub fn set_limit(&mut self, limit: Option<ColdLimit>) {
-        let limit = limit.filter(|limit| limit.rate > 0.0);
+        let limit = limit
+            .filter(|limit| limit.rate > 0.0)
+            .map(|limit| ColdLimit {
+                rate: limit.rate.min(limit.max_per_second),
+                ..limit
+            });
         if limit == self.limit {
             return;
         }
@@ -142,6 +171,7 @@
             (Some(_), None) => {}
             (None, _) => {
                 self.limited = None;
+                self.announced = None;
                 self.recent.clear();
             }
         }
@@ -158,25 +188,96 @@
         Some(self.limited.as_ref()?.pacer.rate())
     }
 
-    /// Records that the upstream says that it is cold until a time; a time that has
-    /// passed says that it is warm.
+    /// Returns whether the upstream was warm, as far as is known, at a recent time.
+    pub fn was_warm(&self, at: Instant) -> bool {
+        match self.limited.as_ref().map(|limited| limited.stage) {
+            None => true,
+            Some(Stage::Cold { until, .. }) => until <= at,
+            Some(Stage::Growing { since }) => since <= at,
+        }
+    }
+
+    /// Returns whether an incarnation is the one that announced itself last.
+    pub fn is_announced(&self, incarnation: &UpstreamIncarnation) -> bool {
+        let announced = self.announced.as_ref();
+        announced.is_some_and(|(announced, _)| announced == incarnation)
+    }
+
+    /// Records an announcement, unless it is older than the newest. What it says
+    /// replaces what was known before, except that one which was perhaps sent before a
+    /// health answer does not shorten the time that this names.
+    pub fn record_announcement(
+        &mut self,
+        announcement: ColdAnnouncement<'_>,
+        now: Instant,
+    ) -> Option<Change> {
+        let limit = self.limit?;
+        let ColdAnnouncement {
+            incarnation,
+            sequence,
+            cold_left,
+            received_at,
+        } = announcement;
+        if let Some((announced, last_sequence)) = &self.announced {
+            let is_newer = match announced == incarnation {
+                true => sequence > *last_sequence,
+                false => incarnation.born_ms > announced.born_ms,
+            };
+            if !is_newer {
+                return None;
+            }
+            if announced != incarnation {
+                self.begin_successor(limit, received_at);
+            }
+        }
+        self.announced = Some((incarnation.clone(), sequence));
+        let told = received_at + cold_left;
+        if let Some(Limited {
+            stage: Stage::Cold { until, checked_at },
+            ..
+        }) = &mut self.limited
+        {
+            if checked_at.is_none_or(|at| received_at >= at + ANNOUNCEMENT_DELAY) {
+                (*until, *checked_at) = (told, None);
+            }
+        }
+        self.record_cold(told, None, now)
+    }
+
+    /// Records that a health answer says that the upstream is cold until a time; a time
+    /// that has passed says that it is warm.
     pub fn record_cold_until(&mut self, until: Instant, now: Instant) -> Option<Change> {
+        self.record_cold(until, Some(now), now)
+    }
+
+    fn record_cold(
+        &mut self,
+        until: Instant,
+        checked_at: Option<Instant>,
+        now: Instant,
+    ) -> Option<Change> {
         let limit = self.limit?;
         if until <= now {
             self.signs.unchecked = 0.0;
-            self.signs.has_lost = false;
+            self.signs.has_failed = false;
             return None;
         }
         if let Some(Limited {
-            stage: Stage::Cold { until: earlier },
+            stage:
+                Stage::Cold {
+                    until: earlier,
+                    checked_at: earlier_check,
+                },
             ..
         }) = &mut self.limited
         {
-            *earlier = until.max(*earlier);
+            if until > *earlier {
+                (*earlier, *earlier_check) = (until, checked_at);
+            }
             return None;
         }
         let was_limited = self.limited.is_some();
-        self.begin(Stage::Cold { until }, limit.rate, now);
+        self.begin(Stage::Cold { until, checked_at }, limit.rate, now);
         (!was_limited).then_some(Change::Begun)
     }
 
@@ -187,15 +288,17 @@
         if self.limited.is_some() {
             return None;
         }
-        self.begin(Stage::Growing, limit.rate, now);
+        self.begin(Stage::Growing { since: now }, limit.rate, now);
         Some(Change::Begun)
     }
 
-    /// Records that another process serves at the upstream's address: what its
-    /// predecessor said of itself no longer holds.
-    pub fn record_successor(&mut self) {
+    /// Another process serves at the upstream's address: what its predecessor said of
+    /// itself, and lost, no longer holds.
+    fn begin_successor(&mut self, limit: ColdLimit, since: Instant) {
         if let Some(limited) = &mut self.limited {
-            limited.stage = Stage::Growing;
+            limited.stage = Stage::Growing { since };
+            let rate = limited.pacer.rate().max(limit.rate);
+            limited.pacer.set_rate(rate);
         }
         self.signs = WarmSigns::default();
     }
@@ -216,7 +319,9 @@
         let Some(limit) = self.limit else {
             return;
         };
-        while self.recent.len() >= limit.window_limit() {
+        while let Some(oldest) = self.recent.front()
+            && (self.recent.len() >= limit.window_limit() || *oldest + WINDOW <= now)
+        {
             self.recent.pop_front();
         }
         self.recent.push_back(now);
@@ -230,12 +335,16 @@
     pub fn delay(&self, now: Instant) -> Option<Duration> {
         let (limit, limited) = (self.limit?, self.limited.as_ref()?);
         let paced = limited.pacer.delay(now);
-        let is_cold = matches!(limited.stage, Stage::Cold { until } if now < until);
-        if !is_cold || self.recent.len() < limit.window_limit() {
+        let Stage::Cold { until, .. } = limited.stage else {
             return Some(paced);
-        }
-        let oldest = self.recent.front()?;
-        Some(paced.max((*oldest + WINDOW).saturating_duration_since(now)))
+        };
+        let excess = self.recent.len().checked_sub(limit.window_limit());
+        let Some(oldest) = excess.and_then(|excess| self.recent.get(excess)) else {
+            return Some(paced);
+        };
+        // The window no longer counts at the end of the cold time.
+        let is_free_at = (*oldest + WINDOW).min(until);
+        Some(paced.max(is_free_at.saturating_duration_since(now)))
     }
 
     /// Records how a request ended. `full_rate` is the rate, in requests a second, that
@@ -247,10 +356,14 @@
         now: Instant,
     ) -> Option<Change> {
         let limit = self.limit?;
-        self.signs.record(answer);
+        if self.was_warm(now) {
+            self.signs.record(answer);
+        }
         let limited = self.limited.as_mut()?;
-        if matches!(limited.stage, Stage::Cold { until } if until <= now) {
-            limited.stage = Stage::Growing;
+        if let Stage::Cold { until, .. } = limited.stage
+            && until <= now
+        {
+            limited.stage = Stage::Growing { since: until };
             self.good = 0.0;
         }
         let latency = match answer {
@@ -261,7 +374,7 @@
                 return None;
             }
         };
-        let is_growing = limited.stage == Stage::Growing;
+        let is_growing = matches!(limited.stage, Stage::Growing { .. });
         let rate = limited.pacer.rate();
         // A cold upstream is expected to be slow.
         self.good += match is_growing && latency > GOOD_LATENCY {
@@ -299,14 +412,21 @@
             .set_rate(rate.max(limit.rate * MIN_RATE_SHARE));
     }
 
+    /// Records that a request was abandoned at its deadline without an answer.
+    pub fn record_abandoned(&mut self, now: Instant) {
+        if self.is_enabled() && self.was_warm(now) {
+            self.signs.record(Answer::Failed);
+        }
+    }
+
     /// Returns whether the upstream is to be asked now whether it has turned cold, and
     /// records that it is.
     pub fn take_check(&mut self, now: Instant) -> bool {
-        let Some(limit) = self.limit.filter(|_| self.limited.is_none()) else {
+        let Some(limit) = self.limit.filter(|_| self.was_warm(now)) else {
             return false;
         };
         let signs = &mut self.signs;
-        let is_suspect = signs.has_lost || signs.latency >= SUSPECT_LATENCY;
+        let is_suspect = signs.has_failed || signs.latency >= SUSPECT_LATENCY;
         let is_recent = signs.checked_at.is_some_and(|at| now < at + CHECK_INTERVAL);
         let unchecked = limit.max_per_second * USED_SHARE * UNCHECKED_SHARE;
         if !is_suspect || is_recent || signs.unchecked < unchecked {
@@ -323,8 +443,8 @@
             Answer::Answered(latency) => {
                 self.latency += (latency.clamp(0.0, MAX_SAMPLE) - self.latency) * SAMPLE_WEIGHT;
             }
-            Answer::Failed | Answer::Refused => {}
-            Answer::Lost => self.has_lost = true,
+            Answer::Refused => {}
+            Answer::Failed | Answer::Lost => self.has_failed = true,
         }
     }
 }
--- a/crates/routing/tests/slow_start.rs
+++ b/crates/routing/tests/slow_start.rs
@@ -5,7 +5,8 @@
 use ibiscove_routing::admission::{
     AdmissionController, AdmissionDecision, AdmissionRequest, Dequeued,
 };
-use ibiscove_routing::slow_start::{Answer, Change, ColdLimit, SlowStart};
+use ibiscove_routing::slow_start::{Answer, Change, ColdAnnouncement, ColdLimit, SlowStart};
+use ibiscove_types::UpstreamIncarnation;
 use std::time::{Duration, Instant};
 use yare::parameterized;
 
@@ -353,3 +354,184 @@
     assert!(!slow_start.take_check(now));
     assert_eq!((slow_start.delay(now), slow_start.rate()), (None, None));
 }
+
+fn limited() -> SlowStart {
+    let mut slow_start = SlowStart::default();
+    slow_start.set_limit(Some(LIMIT));
+    slow_start
+}
+
+/// Records the announcement of the upstream that was born at a time.
+fn announce(
+    slow_start: &mut SlowStart,
+    (born_ms, sequence): (i64, u64),
+    cold_left: Duration,
+    now: Instant,
+) {
+    let incarnation = UpstreamIncarnation {
+        id: "upstream".into(),
+        born_ms,
+    };
+    let announcement = ColdAnnouncement {
+        incarnation: &incarnation,
+        sequence,
+        cold_left,
+        received_at: now,
+    };
+    slow_start.record_announcement(announcement, now);
+}
+
+/// Guards against a request that waited since before a cold successor announced itself,
+/// and brings its predecessor's announcement back.
+#[parameterized(
+    of_the_predecessor = { (1, 9) },
+    of_an_earlier_time = { (2, 4) },
+    the_same_again = { (2, 5) },
+)]
+fn announcements_that_are_not_newer_say_nothing(stale: (i64, u64)) {
+    let begin = Instant::now();
+    let mut slow_start = limited();
+    announce(&mut slow_start, (1, 9), Duration::ZERO, begin);
+    announce(&mut slow_start, (2, 5), COLD, begin);
+    announce(&mut slow_start, stale, Duration::ZERO, begin);
+    let end = begin + COLD;
+    assert!(!slow_start.was_warm(end - TICK));
+    assert!(slow_start.was_warm(end));
+}
+
+/// Guards against an upstream that is held back after it has said that it is warm, and
+/// against one that is flooded because this was on its way when it turned cold.
+#[test]
+fn a_newer_announcement_replaces_a_health_answer() {
+    let begin = Instant::now();
+    let after = |ms| begin + Duration::from_millis(ms);
+    let mut slow_start = limited();
+    announce(&mut slow_start, (1, 1), Duration::ZERO, begin);
+    slow_start.record_cold_until(after(60_000), begin);
+    announce(&mut slow_start, (1, 2), Duration::ZERO, after(200));
+    assert!(!slow_start.was_warm(after(59_999)));
+    announce(
+        &mut slow_start,
+        (1, 3),
+        Duration::from_secs(1),
+        after(1_070),
+    );
+    assert!(!slow_start.was_warm(after(2_069)));
+    assert!(slow_start.was_warm(after(2_070)));
+    announce(&mut slow_start, (1, 4), Duration::ZERO, after(1_500));
+    assert!(slow_start.was_warm(after(1_500)));
+}
+
+/// Guards against an upstream that pays for the crash of its predecessor.
+#[test]
+fn a_successor_gets_at_least_the_announced_rate() {
+    let begin = Instant::now();
+    let mut slow_start = limited();
+    announce(&mut slow_start, (1, 1), COLD, begin);
+    for n in 0..10 {
+        slow_start.record_answer(Answer::Lost, 100.0, begin + Duration::from_secs(n));
+    }
+    assert!(slow_start.rate() < Some(2.0));
+    let later = begin + Duration::from_secs(10);
+    announce(&mut slow_start, (2, 1), Duration::ZERO, later);
+    assert_eq!(slow_start.rate(), Some(LIMIT.rate));
+}
+
+/// Guards against an upstream that turns cold again, or hangs, and is flooded until its
+/// next announcement.
+#[parameterized(
+    slow_while_it_grows = { true, Some(Answer::Answered(3.0)) },
+    failing_while_it_grows = { true, Some(Answer::Failed) },
+    failing = { false, Some(Answer::Failed) },
+    lost = { false, Some(Answer::Lost) },
+    abandoned = { false, None },
+    abandoned_while_it_grows = { true, None },
+)]
+fn signs_that_an_upstream_is_cold_call_for_a_health_check(
+    is_growing: bool,
+    answer: Option<Answer>,
+) {
+    let begin = Instant::now();
+    let mut slow_start = limited();
+    if is_growing {
+        slow_start.record_recovery(begin);
+    }
+    let rate = slow_start.rate();
+    for _ in 0..8 {
+        slow_start.record_start(begin);
+    }
+    assert!(!slow_start.take_check(begin));
+    for _ in 0..4 {
+        match answer {
+            Some(answer) => drop(slow_start.record_answer(answer, 1_000.0, begin)),
+            None => slow_start.record_abandoned(begin),
+        }
+    }
+    assert!(slow_start.take_check(begin));
+    assert_eq!(slow_start.rate(), rate, "none of these holds it back");
+    slow_start.record_cold_until(begin + COLD, begin);
+    let later = begin + COLD / 2;
+    for _ in 0..20 {
+        slow_start.record_start(later);
+        slow_start.record_answer(Answer::Failed, 1_000.0, later);
+    }
+    assert!(!slow_start.take_check(later), "it is known to be cold");
+}
+
+/// Guards against an upstream that stays idle after it has become warm because its last
+/// second as a cold one was full.
+#[test]
+fn the_wait_for_a_full_second_ends_with_the_cold_time() {
+    let begin = Instant::now();
+    let mut slow_start = limited();
+    for _ in 0..50 {
+        slow_start.record_start(begin);
+    }
+    let now = begin + Duration::from_millis(300);
+    slow_start.record_cold_until(now + TICK, now);
+    assert_eq!(slow_start.delay(now), Some(TICK));
+}
+
+/// Guards against a rate above the bound that the settings set.
+#[test]
+fn a_bound_below_the_rate_holds() {
+    let begin = Instant::now();
+    let mut slow_start = SlowStart::default();
+    slow_start.set_limit(Some(ColdLimit {
+        rate: 14.0,
+        max_per_second: 7.0,
+    }));
+    slow_start.record_cold_until(begin + COLD, begin);
+    assert_eq!(slow_start.rate(), Some(7.0));
+    let starts = (0..1_000).filter(|ms| {
+        let now = begin + TICK * *ms;
+        let may_start = slow_start.delay(now) == Some(Duration::ZERO);
+        if may_start {
+            slow_start.record_start(now);
+        }
+        may_start
+    });
+    assert!((1..=7).contains(&starts.count()));
+}
+
+/// Guards against callers who come again before the upstream may get another request.
+#[test]
+fn refusals_name_the_time_until_the_next_start() {
+    let begin = Instant::now();
+    let mut admission = AdmissionController::<()>::new(SLOTS);
+    for _ in 0..40 {
+        admission.slow_start().set_limit(Some(LIMIT));
+        admission.slow_start().record_start(begin);
+    }
+    assert_eq!(admission.retry_after(begin), admission.drain_time());
+    admission
+        .slow_start()
+        .record_cold_until(begin + COLD, begin);
+    let hasty = AdmissionRequest {
+        deadline: begin + Duration::from_millis(100),
+        ..request(begin)
+    };
+    let decision = admission.offer(hasty, || (), begin);
+    let retry_after = Duration::from_secs(1);
+    assert_eq!(decision, AdmissionDecision::Refuse { retry_after });
+}
