--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 use hyper::header::HeaderName;
 use hyper::http::uri::PathAndQuery;
-use hyper::{HeaderMap, Method, Request, Response};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use ibiscove_http::body::read_whole;
 use ibiscove_http::{Body, Exchange, Pool, Server, ServerSettings};
 use ibiscove_proxy::routes::{
@@ -21,7 +21,7 @@
 use smol::net::TcpListener;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicI64, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -34,6 +34,11 @@
     pub notice: Arc<Mutex<HeaderMap>>,
     /// Milliseconds after which it answers.
     pub delay_ms: Arc<AtomicU32>,
+    /// Whether it answers that requests are not meant for it.
+    pub is_misdirected: Arc<AtomicBool>,
+    /// Whether it answers nothing but health checks.
+    pub is_hung: Arc<AtomicBool>,
+    pub health_checks: Arc<AtomicU32>,
 }
 
 impl Grantee for CountingUpstream {
@@ -56,15 +61,28 @@
         let runs = Arc::clone(&self.runs);
         let notice = Arc::clone(&self.notice);
         let delay_ms = Arc::clone(&self.delay_ms);
+        let is_misdirected = Arc::clone(&self.is_misdirected);
+        let is_hung = Arc::clone(&self.is_hung);
+        let health_checks = Arc::clone(&self.health_checks);
         let handle = move |req: Request<Incoming>| {
             runs.fetch_add(1, Ordering::SeqCst);
             let notice = notice.lock().expect("no holder panics").clone();
             let delay = Duration::from_millis(delay_ms.load(Ordering::SeqCst).into());
+            let is_misdirected = is_misdirected.load(Ordering::SeqCst);
+            let is_health_check = req.uri().path() == HEALTH_PATH;
+            health_checks.fetch_add(is_health_check.into(), Ordering::SeqCst);
+            let is_hung = is_hung.load(Ordering::SeqCst) && !is_health_check;
             async move {
                 smol::Timer::after(delay).await;
+                if is_hung {
+                    std::future::pending::<()>().await;
+                }
                 let names = HeaderNames::default();
                 let mut response = Response::new(Body::<()>::whole("done"));
                 response.headers_mut().extend(notice);
+                if is_misdirected {
+                    *response.status_mut() = StatusCode::MISDIRECTED_REQUEST;
+                }
                 if let Some(id) = req.headers().get(&names.request_id) {
                     response.headers_mut().insert(names.request_id, id.clone());
                 }
@@ -78,6 +96,7 @@
 
 /// Requests a second that a cold upstream of the service `archive` takes.
 pub const FRAIL_RATE: f64 = 14.0;
+const HEALTH_PATH: &str = "/healthz";
 
 pub fn parse_config(text: &[u8]) -> Result<RouteTable, String> {
     let version = String::from_utf8_lossy(text)
@@ -105,7 +124,7 @@
         cold_start: Some(ColdStart {
             max_duration: None,
             max_rate: FRAIL_RATE,
-            health_path: Some(PathAndQuery::from_static("/healthz")),
+            health_path: Some(PathAndQuery::from_static(HEALTH_PATH)),
         }),
         ..Service::default()
     };
--- a/crates/routing/src/slow_start.rs
+++ b/crates/routing/src/slow_start.rs
@@ -236,10 +236,9 @@
             stage: Stage::Cold { until, checked_at },
             ..
         }) = &mut self.limited
+            && checked_at.is_none_or(|at| received_at >= at + ANNOUNCEMENT_DELAY)
         {
-            if checked_at.is_none_or(|at| received_at >= at + ANNOUNCEMENT_DELAY) {
-                (*until, *checked_at) = (told, None);
-            }
+            (*until, *checked_at) = (told, None);
         }
         self.record_cold(told, None, now)
     }
