--- a/crates/proxy/src/gate/slow_start.rs
+++ b/crates/proxy/src/gate/slow_start.rs
@@ -10,11 +10,9 @@
 use crate::routes::ColdStart;
 use hyper::{Method, Request, StatusCode, Uri};
 use ibiscove_http::Body;
-use ibiscove_routing::latency_estimate::LatencyEstimate;
-use ibiscove_routing::slow_start::{Answer, Change, ColdAnnouncement, ColdLimit};
+use ibiscove_routing::slow_start::{Answer, Change, ColdAnnouncement, ColdLimit, WarmLatencies};
 use ibiscove_types::{Clock, Reason, UpstreamIncarnation};
 use smol::future::FutureExt;
-use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -28,9 +26,7 @@
 #[derive(Default)]
 pub(super) struct SlowStartState {
     cold_start: Mutex<Option<ColdStart>>,
-    /// Latency of each route's requests that started while the upstream was warm, by
-    /// which slow answers are told.
-    warm_latencies: Mutex<HashMap<Arc<str>, LatencyEstimate>>,
+    warm_latencies: Mutex<WarmLatencies>,
 }
 
 impl SlowStartState {
@@ -40,30 +36,11 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn warm_latencies(&self) -> MutexGuard<'_, HashMap<Arc<str>, LatencyEstimate>> {
+    fn warm_latencies(&self) -> MutexGuard<'_, WarmLatencies> {
         self.warm_latencies
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
     }
-
-    /// Returns a latency relative to the usual one of its route, and lets that one learn
-    /// from it if the upstream was warm.
-    fn relative_latency(
-        &self,
-        route: &Arc<str>,
-        initial: LatencyEstimate,
-        elapsed: Duration,
-        was_warm: bool,
-    ) -> f64 {
-        let mut latencies = self.warm_latencies();
-        let usual = latencies.get(route).copied().unwrap_or(initial);
-        if was_warm {
-            let warm = latencies.entry(Arc::clone(route)).or_insert(initial);
-            warm.record(elapsed);
-        }
-        let mean = usual.mean().max(Duration::from_millis(1));
-        elapsed.div_duration_f64(mean)
-    }
 }
 
 impl<K, C> Inner<K, C> {
@@ -169,8 +146,8 @@
             Ok(response) if response.status().is_server_error() => Answer::Failed,
             Ok(_) => {
                 let initial = self.latency_estimate(metadata);
-                let state = &self.inner.slow_start;
-                let latency = state.relative_latency(&metadata.route, initial, elapsed, was_warm);
+                let mut latencies = self.inner.slow_start.warm_latencies();
+                let latency = latencies.record(&metadata.route, initial, elapsed, was_warm);
                 Answer::Answered(latency)
             }
             Err(refusal) => match refusal.reason {
--- a/crates/routing/src/slow_start.rs
+++ b/crates/routing/src/slow_start.rs
@@ -10,9 +10,11 @@
 //! and answers that take longer than usual call for a health check, which tells
 //! earlier.
 
+use crate::latency_estimate::LatencyEstimate;
 use crate::pacing::Pacer;
 use ibiscove_types::UpstreamIncarnation;
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Time over which the starts at a cold upstream are counted.
@@ -50,6 +52,8 @@
 /// Time after a health answer within which an announcement may arrive that was sent
 /// before it.
 const ANNOUNCEMENT_DELAY: Duration = Duration::from_secs(1);
+/// Least usual latency; shorter ones vary too much to tell anything.
+const MIN_USUAL_LATENCY: Duration = Duration::from_millis(1);
 /// Time between two health checks.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -69,6 +73,29 @@
     }
 }
 
+/// The usual latency of each route at a warm upstream, by which slow answers are told.
+#[derive(Clone, Debug, Default)]
+pub struct WarmLatencies(HashMap<Arc<str>, LatencyEstimate>);
+
+impl WarmLatencies {
+    /// Returns a latency relative to the usual one of its route, which is `initial` at
+    /// first, and which learns from it if its request started at a warm upstream.
+    pub fn record(
+        &mut self,
+        route: &Arc<str>,
+        initial: LatencyEstimate,
+        latency: Duration,
+        was_warm: bool,
+    ) -> f64 {
+        let usual = self.0.get(route).copied().unwrap_or(initial).mean();
+        if was_warm {
+            let warm = self.0.entry(Arc::clone(route)).or_insert(initial);
+            warm.record(latency);
+        }
+        latency.div_duration_f64(usual.max(MIN_USUAL_LATENCY))
+    }
+}
+
 /// What an announcement of the upstream says of its caches.
 #[derive(Clone, Copy, Debug)]
 pub struct ColdAnnouncement<'a> {
--- a/crates/routing/tests/slow_start.rs
+++ b/crates/routing/tests/slow_start.rs
@@ -5,7 +5,10 @@
 use ibiscove_routing::admission::{
     AdmissionController, AdmissionDecision, AdmissionRequest, Dequeued,
 };
-use ibiscove_routing::slow_start::{Answer, Change, ColdAnnouncement, ColdLimit, SlowStart};
+use ibiscove_routing::latency_estimate::LatencyEstimate;
+use ibiscove_routing::slow_start::{
+    Answer, Change, ColdAnnouncement, ColdLimit, SlowStart, WarmLatencies,
+};
 use ibiscove_types::UpstreamIncarnation;
 use std::time::{Duration, Instant};
 use yare::parameterized;
@@ -535,3 +538,21 @@
     let retry_after = Duration::from_secs(1);
     assert_eq!(decision, AdmissionDecision::Refuse { retry_after });
 }
+
+/// Guards against an upstream that turns cold again and is taken for one that answers as
+/// usual, because its first cold time has made slow answers the usual ones.
+#[test]
+fn answers_of_a_cold_upstream_do_not_become_the_usual_ones() {
+    let initial = LatencyEstimate::with_initial(WARM_LATENCY);
+    let route = "files".into();
+    let mut latencies = WarmLatencies::default();
+    for _ in 0..100 {
+        let relative = latencies.record(&route, initial, WARM_LATENCY * 2, false);
+        assert!((relative - 2.0).abs() < 1e-6, "{relative}");
+    }
+    for _ in 0..100 {
+        latencies.record(&route, initial, WARM_LATENCY / 2, true);
+    }
+    let relative = latencies.record(&route, initial, WARM_LATENCY, false);
+    assert!((relative - 2.0).abs() < 0.01, "{relative}");
+}
