Evacuation of data centres: known to all nodes, obeyed by gates and owners

Cause: rows evacuate/ZONE of the operator were read by nobody. Change: the watch passes them on, heartbeats carry the set with its store version, gates refuse not-run, entries choose elsewhere, owners hand over.

--- a/crates/mesh/src/heartbeat.rs
+++ b/crates/mesh/src/heartbeat.rs
@@ -1,6 +1,7 @@
 //! Heartbeats: one datagram to every other node, at an interval and at once
 //! when the node's state changes.
 
+use crate::evacuations::EvacuationNews;
 use crate::members::{Member, Members, Upstream};
 use event_listener::Event;
 use ibiscove_types::{Clock, ServiceName, UpstreamIncarnation};
@@ -159,6 +160,8 @@
     /// Hash of all that it knows of requests beside which upstreams have crashed; 0 if
     /// that is nothing.
     pub crashes_digest: u64,
+    /// The evacuated data centres, if the sender tells of any.
+    pub evacuations: Option<EvacuationNews>,
 }
 
 /// Decodes a heartbeat that was received from `from`.
@@ -167,8 +170,9 @@
     from: SocketAddr,
     now: Instant,
 ) -> Result<(Member, Content), HeartbeatError> {
-    let presence: Presence = decode(datagram)?;
+    let mut presence: Presence = decode(datagram)?;
     let out_of_range = HeartbeatError::Range;
+    let evacuations = EvacuationNews::decode(&mut presence).map_err(out_of_range)?;
     let unsigned =
         |value: i64, field| u64::try_from(value).map_err(|_| HeartbeatError::Range(field));
     let port = u16::try_from(presence.gate_port)
@@ -186,6 +190,7 @@
             crashes: presence.crashes.unwrap_or_default(),
         },
         crashes_digest: presence.crashes_digest.unwrap_or_default() as u64,
+        evacuations,
     };
     let member = Member {
         name: presence.node.into(),
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -9,8 +9,10 @@
 //! All of this is advisory: no guarantee relies on it. See `docs/mesh.md`.
 
 pub mod directory;
+pub mod evacuations;
 pub mod followers;
 pub mod heartbeat;
 pub mod members;
 
+pub use evacuations::Evacuations;
 pub use members::{Member, Members, Upstream};
--- a/crates/mesh/src/members.rs
+++ b/crates/mesh/src/members.rs
@@ -1,5 +1,6 @@
 //! Membership state: the other nodes, each as of its last heartbeat.
 
+use crate::evacuations::Evacuations;
 use event_listener::Event;
 use ibiscove_types::{
     DataCentre, Incarnation, NodeName, RowVersion, ServiceName, UpstreamIncarnation,
@@ -83,6 +84,7 @@
     base_interval: Duration,
     members: Mutex<BTreeMap<NodeName, Member>>,
     changed: Event,
+    evacuations: Evacuations,
 }
 
 impl Members {
@@ -94,6 +96,7 @@
                 base_interval,
                 members: Mutex::default(),
                 changed: Event::new(),
+                evacuations: Evacuations::default(),
             }),
         }
     }
@@ -159,6 +162,11 @@
                 < interval * SUSPECT_AFTER_INTERVALS
     }
 
+    /// Returns the evacuated data centres, whose members are sent no requests.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.inner.evacuations
+    }
+
     /// Returns a member by name.
     pub fn get(&self, name: &str) -> Option<Member> {
         self.lock().get(name).cloned()
--- a/crates/mesh/tests/all/heartbeats.rs
+++ b/crates/mesh/tests/all/heartbeats.rs
@@ -2,7 +2,7 @@
 
 use ibiscove_mesh::heartbeat::decode_member;
 use ibiscove_wire::encode;
-use ibiscove_wire::messages::{Presence, RangeMapEpoch, UpstreamPresence};
+use ibiscove_wire::messages::{Evacuation, Presence, RangeMapEpoch, UpstreamPresence};
 use std::net::SocketAddr;
 use std::time::Instant;
 use yare::parameterized;
@@ -34,6 +34,11 @@
         map_changes: None,
         crashes: None,
         crashes_digest: Some(-1),
+        evacuations_version: Some(90),
+        evacuations: Some(vec![Evacuation {
+            data_centre: "medina".to_owned(),
+            handover_left_ms: 2_000,
+        }]),
     }
 }
 
@@ -55,6 +60,14 @@
     lease_version = { |it: &mut Presence| it.lease_version = -1 },
     slots = { |it: &mut Presence| it.upstream.as_mut().expect("set").slots = -1 },
     load = { |it: &mut Presence| it.upstream.as_mut().expect("set").load = -1 },
+    evacuations_version = { |it: &mut Presence| it.evacuations_version = Some(-1) },
+    handover_left = { |it: &mut Presence| {
+        it.evacuations.as_mut().expect("set")[0].handover_left_ms = -1;
+    } },
+    too_many_evacuations = { |it: &mut Presence| {
+        let evacuation = it.evacuations.as_ref().expect("set")[0].clone();
+        it.evacuations = Some(vec![evacuation; 17]);
+    } },
 )]
 fn a_heartbeat_with_a_number_out_of_range_is_refused(change: fn(&mut Presence)) {
     let mut odd = presence();
--- a/crates/proxy/src/entry/attempt.rs
+++ b/crates/proxy/src/entry/attempt.rs
@@ -79,6 +79,9 @@
         let assignment = map.assignment_of(key);
         attempts.fence = Some(assignment.fence);
         let owner = assignment.owner.as_ref().ok_or(no_owner)?;
+        if self.is_wholly_evacuated(&plan.metadata.service, now) {
+            return Err(Refusal::not_run(Reason::Evacuated).with_retry_after(EVACUATED_RETRY_AFTER));
+        }
         if owner.node == deps.identity.node {
             return Ok(Target {
                 node: Arc::clone(&owner.node),
@@ -106,8 +109,14 @@
         let deps = self.deps();
         let mut candidates = CandidateSet::default();
         let local = &deps.identity;
+        let evacuated = deps.members.evacuations().names();
+        let mut is_any_evacuated = false;
         deps.members
             .for_each_alive_of(&plan.metadata.service, now, |member| {
+                if evacuated.contains(&member.data_centre) {
+                    is_any_evacuated = true;
+                    return;
+                }
                 candidates.add(
                     member,
                     &local.data_centre,
@@ -116,7 +125,10 @@
                 );
             });
         if let Some(candidate) = self.local_candidate(&plan.metadata.service, attempts) {
-            candidates.add_local(&local.node, candidate);
+            match evacuated.contains(&local.data_centre) {
+                true => is_any_evacuated = true,
+                false => candidates.add_local(&local.node, candidate),
+            }
         }
         let suspect = plan
             .metadata
@@ -127,10 +139,30 @@
             Some(record) => candidates.choose_by_hash(record.fingerprint),
             None => self.inner.selector.choose(&candidates, rng),
         };
-        let target = target
-            .ok_or(Refusal::not_run(Reason::NoUpstream).with_retry_after(NO_OWNER_RETRY_AFTER))?;
         attempts.has_unattempted = candidates.has_unattempted();
-        Ok(target)
+        target.ok_or(match is_any_evacuated {
+            true => Refusal::not_run(Reason::Evacuated).with_retry_after(EVACUATED_RETRY_AFTER),
+            false => Refusal::not_run(Reason::NoUpstream).with_retry_after(NO_OWNER_RETRY_AFTER),
+        })
+    }
+
+    /// Returns whether all upstreams of a service are in evacuated data centres, so
+    /// that its keys can have no other owner.
+    fn is_wholly_evacuated(&self, service: &ServiceName, now: Instant) -> bool {
+        let deps = self.deps();
+        let evacuated = deps.members.evacuations().names();
+        if evacuated.is_empty() {
+            return false;
+        }
+        let local = &deps.identity;
+        let is_served_here = local.service.as_ref() == Some(service)
+            && deps.local_upstream.current().is_some()
+            && !evacuated.contains(&local.data_centre);
+        let mut is_served = is_served_here;
+        deps.members.for_each_alive_of(service, now, |member| {
+            is_served |= member.upstream.is_some() && !evacuated.contains(&member.data_centre);
+        });
+        !is_served
     }
 
     fn local_candidate(&self, service: &ServiceName, attempts: &Attempts) -> Option<Candidate> {
@@ -220,6 +252,10 @@
 /// upstream.
 const NO_OWNER_RETRY_AFTER: Duration = Duration::from_millis(250);
 
+/// Time after which a caller may retry when all upstreams are in evacuated data centres,
+/// which an operator takes back.
+const EVACUATED_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Updates a node's failure rate after an attempt. Refusals for lack of free
 /// capacity or ownership do not count: the node responded as it should.
 fn record_node_outcome<P>(
--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -5,10 +5,12 @@
 //! A request fails as `not-run` only if the upstream certainly did not run it.
 
 mod crashes;
+pub mod evacuation;
 mod exchange;
 mod load;
 
 pub use crashes::CLOSE_DELAY;
+pub use evacuation::Evacuation;
 pub use load::GateLoad;
 
 use crate::forward::RequestMetadata;
@@ -159,6 +161,7 @@
     /// Whether the gate refuses all new requests, because the node is about to
     /// exit.
     is_closed: AtomicBool,
+    evacuation: Mutex<Evacuation>,
 }
 
 /// Latency estimates of the upstream.
@@ -278,6 +281,12 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn evacuation(&self) -> MutexGuard<'_, Evacuation> {
+        self.evacuation
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn crash_watch(&self) -> MutexGuard<'_, CrashWatch<Option<suspects::SentCopy>>> {
         self.crash_watch
             .lock()
@@ -331,6 +340,7 @@
                 crash_watch: Mutex::default(),
                 pacing_due: Event::new(),
                 is_closed: AtomicBool::new(false),
+                evacuation: Mutex::default(),
             }),
         }
     }
@@ -348,6 +358,12 @@
         self.inner.is_closed.store(true, Ordering::Release);
     }
 
+    /// Sets what is known of the evacuation of this node's data centre. Queued
+    /// requests are refused at their turn, and running ones end as usual.
+    pub fn set_evacuation(&self, evacuation: Evacuation) {
+        *self.inner.evacuation() = evacuation;
+    }
+
     /// Starts queued requests as the limit of the upstream allows it, until the task
     /// is dropped. Requests that wait for a slot only are started by the one that
     /// frees it.
@@ -518,6 +534,9 @@
         {
             return Err(Reason::Draining);
         }
+        if let Some(reason) = self.inner.evacuation().refusal(keys.is_some(), now) {
+            return Err(reason);
+        }
         match (keys, metadata.key) {
             (None, _) => Ok(upstream),
             (Some(_), None) => Err(Reason::NoKey),
--- a/crates/ranges/src/controller.rs
+++ b/crates/ranges/src/controller.rs
@@ -5,6 +5,7 @@
 
 mod coordinate;
 mod eras;
+mod evacuation;
 mod granting;
 mod leasing;
 mod moving;
@@ -126,6 +127,9 @@
     granted_to: Option<UpstreamIncarnation>,
     /// The upstream or the node is shutting down, and all ranges move away.
     is_leaving: bool,
+    /// From when on the upstream hands its ranges over, while its data centre is
+    /// evacuated.
+    evacuated_from: Option<Instant>,
     lease: Lease,
     grants: Grants,
     load: KeyLoad,
@@ -161,6 +165,7 @@
                     incarnation: None,
                     granted_to: None,
                     is_leaving: false,
+                    evacuated_from: None,
                     lease: Lease::default(),
                     grants,
                     load: KeyLoad::new(now),
@@ -372,10 +377,12 @@
     }
 
     /// Returns the other members that may own ranges now. One that holds no lease of
-    /// the present era yet may not: its absence would not show in the table.
+    /// the present era yet may not: its absence would not show in the table. Nor may
+    /// one in an evacuated data centre.
     fn eligible_members(&self) -> Vec<Member> {
         let now = self.inner.deps.clock.now();
         let era = self.inner.deps.table.era();
+        let evacuated = self.inner.deps.members.evacuations().names();
         let mut eligible_members = Vec::new();
         self.inner
             .deps
@@ -384,7 +391,8 @@
                 let is_ready = member.upstream.as_ref().is_some_and(|up| !up.draining);
                 let is_leased =
                     member.lease_version > 0 && Some(era_of(member.lease_version)) == era;
-                if is_ready && is_leased {
+                let is_evacuated = evacuated.contains(&member.data_centre);
+                if is_ready && is_leased && !is_evacuated {
                     eligible_members.push(member.clone());
                 }
             });
--- a/crates/ranges/src/controller/coordinate.rs
+++ b/crates/ranges/src/controller/coordinate.rs
@@ -47,6 +47,7 @@
         let state = self.state();
         let is_leased_in_era = state.lease.version.map(era_of) == self.inner.deps.table.era();
         if state.is_leaving
+            || state.evacuated_from.is_some()
             || state.incarnation.is_none()
             || !self.holds_lease(&state)
             || !is_leased_in_era
@@ -223,7 +224,11 @@
 
     /// Returns the owners that ranges may be assigned to, this node's included.
     fn eligible_owners(&self) -> Vec<Owner> {
-        let own = self.local_owner(&self.state());
+        let own = {
+            let state = self.state();
+            let is_eligible = state.evacuated_from.is_none();
+            self.local_owner(&state).filter(|_| is_eligible)
+        };
         let others = self.eligible_members();
         own.into_iter()
             .chain(others.iter().filter_map(owner_of))
--- a/crates/ranges/src/controller/moving.rs
+++ b/crates/ranges/src/controller/moving.rs
@@ -71,9 +71,10 @@
     }
 
     async fn move_due_ranges(&self) {
-        let (incarnation, is_leaving) = {
+        let (incarnation, is_leaving, evacuated_from) = {
             let state = self.state();
-            (state.incarnation.clone(), state.is_leaving)
+            let incarnation = state.incarnation.clone();
+            (incarnation, state.is_leaving, state.evacuated_from)
         };
         let Some(life) = incarnation else {
             self.transfer_after_upstream_exit().await;
@@ -89,9 +90,12 @@
         let Some(map) = self.current_map() else {
             return;
         };
-        let moves = match is_leaving {
-            true => self.plan_drain(&map, &own),
-            false => self.plan_balancing(&map, &own),
+        let now = self.inner.deps.clock.now();
+        let moves = match (is_leaving, evacuated_from) {
+            (true, _) => self.plan_drain(&map, &own),
+            (false, Some(from)) if now < from => Vec::new(),
+            (false, Some(_)) => self.plan_drain(&map, &own),
+            (false, None) => self.plan_balancing(&map, &own),
         };
         let Some((first, _)) = moves.first() else {
             return;
--- a/crates/router/src/catch_up.rs
+++ b/crates/router/src/catch_up.rs
@@ -32,6 +32,7 @@
             now,
         );
         self.compare_suspects(member, content.crashes_digest);
+        self.apply_evacuation_news(member, content.evacuations);
         if is_new {
             // The new member may not know this node yet.
             self.inner.heartbeat_due.notify(usize::MAX);
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod catch_up;
 pub mod crash_news;
+mod evacuation;
 mod join;
 mod live_grantee;
 mod maintenance;
@@ -16,6 +17,7 @@
 mod stored_suspects;
 mod stored_withdrawals;
 
+pub use ibiscove_mesh::evacuations::Reading as EvacuationReading;
 pub use settings::{RouterAddrs, RouterSettings};
 
 use crate::live_grantee::LiveGrantee;
@@ -24,6 +26,7 @@
 use ibiscove_http::body::BodyBudget;
 use ibiscove_http::{Pool, PoolSettings, Server, ServerSettings};
 use ibiscove_mesh::directory::Introductions;
+use ibiscove_mesh::evacuations::EvacuationNews;
 use ibiscove_mesh::heartbeat::News;
 use ibiscove_mesh::{Members, Upstream, followers, heartbeat};
 use ibiscove_proxy::entry::{EntryDependencies, NodeIdentity};
@@ -205,6 +208,7 @@
                 settings,
             }),
         };
+        router.update_evacuation();
         router.start_tasks(callers, peers, mesh);
         if let Some(addr) = router.inner.settings.addrs.metrics {
             let page = listen("metrics", addr).await?;
@@ -418,6 +422,7 @@
         });
         if inner.range_controller.set(controller.clone()).is_ok() {
             inner.gate.set_key_ownership(controller.clone());
+            self.update_evacuation();
             smol::spawn(controller.run()).detach();
             self.update_range_controller();
         }
@@ -470,7 +475,7 @@
                     .saturating_duration_since(current.received_at),
             ),
         });
-        Presence {
+        let mut presence = Presence {
             node: inner.settings.node.to_string(),
             incarnation: inner.incarnation as i64,
             sequence: inner.sequence.fetch_add(1, Ordering::Relaxed) as i64,
@@ -493,7 +498,12 @@
                 .get()
                 .map_or(0, |controller| controller.lease_version())
                 as i64,
-        }
+            evacuations_version: None,
+            evacuations: None,
+        };
+        let evacuations = inner.members.evacuations();
+        EvacuationNews::encode(evacuations.news(inner.clock.now()), &mut presence);
+        presence
     }
 }
 
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -46,6 +46,9 @@
     /// response is read before it is relayed, so that one that breaks off there can be
     /// replaced; without memory for it the response is streamed as it comes.
     pub max_response_memory: usize,
+    /// Whether evacuations are applied to this node, so that its gate refuses requests
+    /// until it has heard whether its data centre is evacuated.
+    pub awaits_evacuations: bool,
     /// Settings of the entry.
     pub entry: EntrySettings,
     /// Settings of the gate.
@@ -75,6 +78,7 @@
             max_shutdown_duration: Duration::from_millis(5_400),
             max_body_memory: 32 << 20,
             max_response_memory: 16 << 20,
+            awaits_evacuations: false,
             entry: EntrySettings::default(),
             gate: GateSettings::default(),
             local_upstream: LocalUpstreamSettings::default(),
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -92,6 +92,8 @@
     Moving => "moving", 503;
     /// The upstream is draining and accepts no new work.
     Draining => "draining", 503;
+    /// The upstream's data centre is evacuated, so nothing is sent to it.
+    Evacuated => "evacuated", 503;
     /// The queue is full, or the deadline would pass while queued.
     Overloaded => "overloaded", 429;
     /// The deadline passed.
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -3482,6 +3482,74 @@
   }
 }
 
+//
+// Evacuation
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Evacuation {
+  pub data_centre: String,
+  pub handover_left_ms: i32,
+}
+
+impl Evacuation {
+  pub fn new(data_centre: String, handover_left_ms: i32) -> Evacuation {
+    Evacuation {
+      data_centre,
+      handover_left_ms,
+    }
+  }
+}
+
+impl TSerializable for Evacuation {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Evacuation> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<String> = None;
+    let mut f_2: Option<i32> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_string()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_i32()?;
+          f_2 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("Evacuation.data_centre", &f_1)?;
+    verify_required_field_exists("Evacuation.handover_left_ms", &f_2)?;
+    let ret = Evacuation {
+      data_centre: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      handover_left_ms: f_2.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("Evacuation");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("data_centre", TType::String, 1))?;
+    o_prot.write_string(&self.data_centre)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("handover_left_ms", TType::I32, 2))?;
+    o_prot.write_i32(self.handover_left_ms)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
 //
 // Presence
 //
@@ -3502,10 +3570,12 @@
   pub map_changes: Option<Vec<RangeMapChange>>,
   pub crashes_digest: Option<i64>,
   pub crashes: Option<Vec<RequestCrashes>>,
+  pub evacuations_version: Option<i64>,
+  pub evacuations: Option<Vec<Evacuation>>,
 }
 
 impl Presence {
-  pub fn new<F6, F7, F12, F13, F14>(node: String, incarnation: i64, sequence: i64, data_centre: String, gate_port: i32, service_name: F6, upstream: F7, config_version: i64, maps: Vec<RangeMapEpoch>, leaving: bool, lease_version: i64, map_changes: F12, crashes_digest: F13, crashes: F14) -> Presence where F6: Into<Option<String>>, F7: Into<Option<UpstreamPresence>>, F12: Into<Option<Vec<RangeMapChange>>>, F13: Into<Option<i64>>, F14: Into<Option<Vec<RequestCrashes>>> {
+  pub fn new<F6, F7, F12, F13, F14, F15, F16>(node: String, incarnation: i64, sequence: i64, data_centre: String, gate_port: i32, service_name: F6, upstream: F7, config_version: i64, maps: Vec<RangeMapEpoch>, leaving: bool, lease_version: i64, map_changes: F12, crashes_digest: F13, crashes: F14, evacuations_version: F15, evacuations: F16) -> Presence where F6: Into<Option<String>>, F7: Into<Option<UpstreamPresence>>, F12: Into<Option<Vec<RangeMapChange>>>, F13: Into<Option<i64>>, F14: Into<Option<Vec<RequestCrashes>>>, F15: Into<Option<i64>>, F16: Into<Option<Vec<Evacuation>>> {
     Presence {
       node,
       incarnation,
@@ -3521,6 +3591,8 @@
       map_changes: map_changes.into(),
       crashes_digest: crashes_digest.into(),
       crashes: crashes.into(),
+      evacuations_version: evacuations_version.into(),
+      evacuations: evacuations.into(),
     }
   }
 }
@@ -3542,6 +3614,8 @@
     let mut f_12: Option<Vec<RangeMapChange>> = None;
     let mut f_13: Option<i64> = None;
     let mut f_14: Option<Vec<RequestCrashes>> = None;
+    let mut f_15: Option<i64> = None;
+    let mut f_16: Option<Vec<Evacuation>> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -3623,6 +3697,20 @@
           i_prot.read_list_end()?;
           f_14 = Some(val);
         },
+        15 => {
+          let val = i_prot.read_i64()?;
+          f_15 = Some(val);
+        },
+        16 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<Evacuation> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_19 = Evacuation::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_19);
+          }
+          i_prot.read_list_end()?;
+          f_16 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -3654,6 +3742,8 @@
       map_changes: f_12,
       crashes_digest: f_13,
       crashes: f_14,
+      evacuations_version: f_15,
+      evacuations: f_16,
     };
     Ok(ret)
   }
@@ -3724,6 +3814,20 @@
       o_prot.write_list_end()?;
       o_prot.write_field_end()?
     }
+    if let Some(fld_var) = self.evacuations_version {
+      o_prot.write_field_begin(&TFieldIdentifier::new("evacuations_version", TType::I64, 15))?;
+      o_prot.write_i64(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    if let Some(ref fld_var) = self.evacuations {
+      o_prot.write_field_begin(&TFieldIdentifier::new("evacuations", TType::List, 16))?;
+      o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, fld_var.len() as i32))?;
+      for e in fld_var {
+        e.write_to_out_protocol(o_prot)?;
+      }
+      o_prot.write_list_end()?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -295,6 +295,13 @@
   4: required i64 crashed_ms
 }
 
+// A data centre to whose upstreams nothing more is to be sent.
+struct Evacuation {
+  1: required string data_centre
+  // How much longer owners there may hand their keys over, in milliseconds.
+  2: required i32 handover_left_ms
+}
+
 // What a node tells all others at each heartbeat, in one datagram.
 struct Presence {
   1: required string node
@@ -318,4 +325,8 @@
   13: optional i64 crashes_digest
   // What of it the sender has just learned.
   14: optional list<RequestCrashes> crashes
+  // The table's version as of which the evacuations are all that there are; none
+  // while the sender knows of none since its start.
+  15: optional i64 evacuations_version
+  16: optional list<Evacuation> evacuations
 }
