--- a/crates/mesh/src/evacuations.rs
+++ b/crates/mesh/src/evacuations.rs
@@ -5,6 +5,7 @@
 //! [`EvacuationState`] is the state of one node and the rules by which it changes,
 //! [`Evacuations`] shares it between the tasks of the node.
 
+use ibiscove_store::era::{MAX_ERA, era_of};
 use ibiscove_types::{DataCentre, RowVersion};
 use ibiscove_wire::messages::{Evacuation, Presence};
 use std::collections::{BTreeMap, BTreeSet};
@@ -225,7 +226,11 @@
         let Some(version) = presence.evacuations_version else {
             return Ok(None);
         };
-        let version = u64::try_from(version).map_err(|_| "evacuations_version")?;
+        let version = u64::try_from(version)
+            .ok()
+            // Nothing could ever be newer than a version near the largest.
+            .filter(|version| era_of(*version) < MAX_ERA)
+            .ok_or("evacuations_version")?;
         if evacuated.len() > MAX_DATA_CENTRES {
             return Err("evacuations");
         }
--- a/crates/mesh/tests/all/heartbeats.rs
+++ b/crates/mesh/tests/all/heartbeats.rs
@@ -61,6 +61,9 @@
     slots = { |it: &mut Presence| it.upstream.as_mut().expect("set").slots = -1 },
     load = { |it: &mut Presence| it.upstream.as_mut().expect("set").load = -1 },
     evacuations_version = { |it: &mut Presence| it.evacuations_version = Some(-1) },
+    largest_evacuations_version = { |it: &mut Presence| {
+        it.evacuations_version = Some(i64::MAX);
+    } },
     handover_left = { |it: &mut Presence| {
         it.evacuations.as_mut().expect("set")[0].handover_left_ms = -1;
     } },
--- a/crates/mesh/tests/all/main.rs
+++ b/crates/mesh/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the mesh without a network.
 
 mod directory;
+mod evacuations;
 mod followers;
 mod heartbeats;
 mod spread;
--- a/crates/ranges/tests/explorer/cluster.rs
+++ b/crates/ranges/tests/explorer/cluster.rs
@@ -6,13 +6,15 @@
 use crate::upstreams::{SimGrantee, SimUpstreams};
 use async_task::Task;
 use event_listener::Event;
+use ibiscove_mesh::evacuations::Reading;
 use ibiscove_mesh::{Member, Members, Upstream};
 use ibiscove_ranges::map::SECTION_COUNT;
 use ibiscove_ranges::{
     ControllerDependencies, ControllerSettings, GrantDelivery, HoldList, RangeController, RangeMaps,
 };
 use ibiscove_sim::{ENVIRONMENT, NodeIndex, Sim, SimClock};
-use ibiscove_types::{Clock, NodeName, RowVersion, ServiceName};
+use ibiscove_types::{Clock, DataCentre, NodeName, RowVersion, ServiceName};
+use std::collections::BTreeSet;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -196,6 +198,37 @@
         }
     }
 
+    /// Tells all running nodes which data centres are evacuated, as of a version of the
+    /// operator's table.
+    pub fn set_evacuated(&self, version: RowVersion, evacuated: &[DataCentre]) {
+        for (node, state) in self.nodes().iter().enumerate() {
+            let Some((process, _)) = &state.process else {
+                continue;
+            };
+            let clock = SimClock {
+                sim: Arc::clone(&self.sim),
+                node: state.index,
+            };
+            let all = Reading::All(evacuated.iter().cloned().collect());
+            process
+                .members
+                .evacuations()
+                .update(|known| known.apply_reading(version, all, |_| true, clock.now()));
+            let is_evacuated = evacuated.contains(&data_centre(node));
+            process.controller.set_evacuated(is_evacuated);
+        }
+    }
+
+    /// Returns the nodes that own keys by the map of some running node.
+    pub fn owners(&self) -> BTreeSet<NodeName> {
+        let nodes = self.nodes();
+        let mut processes = nodes.iter().filter_map(|node| node.process.as_ref());
+        let map = processes.find_map(|(process, _)| process.maps.get(&service()));
+        let map = map.expect("a running node knows the map");
+        let owners = map.assignments().filter_map(|a| a.owner.as_ref());
+        owners.map(|owner| NodeName::clone(&owner.node)).collect()
+    }
+
     /// Schedules an action.
     pub fn schedule(
         self: &Arc<Self>,
@@ -325,7 +358,7 @@
         name: name(node),
         incarnation: process.incarnation,
         sequence,
-        data_centre: "plateau".into(),
+        data_centre: data_centre(node),
         gate: SocketAddr::new(Ipv4Addr::LOCALHOST.into(), 1),
         service: Some(service()),
         upstream,
@@ -337,10 +370,19 @@
     }
 }
 
+/// Returns the data centre of a node: that of the first two nodes is another one than
+/// that of the rest.
+pub fn data_centre(node: usize) -> DataCentre {
+    match node {
+        0 | 1 => "plateau".into(),
+        _ => "medina".into(),
+    }
+}
+
 pub fn service() -> ServiceName {
     "deposits".into()
 }
 
-fn name(node: usize) -> NodeName {
+pub fn name(node: usize) -> NodeName {
     format!("node-{node}").into()
 }
--- a/crates/ranges/tests/explorer/main.rs
+++ b/crates/ranges/tests/explorer/main.rs
@@ -5,6 +5,7 @@
 //! after the last fault.
 
 mod cluster;
+mod evacuation;
 mod regressions;
 mod reports;
 mod schedules;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -17,7 +17,7 @@
 mod stored_suspects;
 mod stored_withdrawals;
 
-pub use ibiscove_mesh::evacuations::Reading as EvacuationReading;
+pub use ibiscove_mesh::evacuations::{EvacuationState, Reading as EvacuationReading};
 pub use settings::{RouterAddrs, RouterSettings};
 
 use crate::live_grantee::LiveGrantee;
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -140,19 +140,36 @@
     upstream_addr: SocketAddr,
     born_ms: Arc<AtomicI64>,
 ) -> (TestRouter, SocketAddr) {
-    let settings = RouterSettings {
+    let settings = node_settings(number, service, upstream_addr);
+    start_node_with(number, settings, table, grantee, born_ms).await
+}
+
+/// Returns the settings of a node beside an upstream at `upstream`.
+pub fn node_settings(number: u8, service: &str, upstream: SocketAddr) -> RouterSettings {
+    RouterSettings {
         node: format!("node-{number}").into(),
         service: Some(service.into()),
         addrs: RouterAddrs {
             callers: addr(number, 7_400),
             peers: addr(number, 7_401),
             heartbeats: addr(number, 7_401),
-            upstream: upstream_addr,
+            upstream,
             metrics: None,
         },
         ..RouterSettings::default()
-    };
+    }
+}
+
+/// Starts a node with settings that name its service.
+pub async fn start_node_with(
+    number: u8,
+    settings: RouterSettings,
+    table: &MemoryPlatform,
+    grantee: CountingUpstream,
+    born_ms: Arc<AtomicI64>,
+) -> (TestRouter, SocketAddr) {
     let callers = settings.addrs.callers;
+    let service = settings.service.clone().expect("the settings name it");
     let names = HeaderNames::default();
     let result = Router::start(
         settings,
@@ -165,7 +182,6 @@
     .await;
     let router = result.expect("the addresses are free");
     let announcing = router.clone();
-    let service: ServiceName = service.into();
     smol::spawn(async move {
         for sequence in 1.. {
             let born_ms = born_ms.load(Ordering::SeqCst);
--- a/crates/routing/tests/retry.rs
+++ b/crates/routing/tests/retry.rs
@@ -140,3 +140,23 @@
     let max_retries = max_retries + nodes.saturating_sub(TOTAL_BALANCE as usize);
     assert!(retries <= max_retries, "{retries} of {max_retries}");
 }
+
+/// Many requests are refused by gates of an evacuated data centre before their entries
+/// hear of it: another upstream is tried at once, and with none left they end at once.
+#[parameterized(
+    others_left = { true, RetryDecision::Retry { delay: Duration::ZERO, charged: false } },
+    none_left = { false, RetryDecision::Stop },
+)]
+fn a_refusal_of_an_evacuated_upstream_is_tried_elsewhere(
+    has_alternative: bool,
+    expected: RetryDecision,
+) {
+    let mut rng = fastrand::Rng::with_seed(1);
+    for idempotent in [true, false] {
+        let failure = FailedAttempt {
+            has_alternative,
+            ..failure(Outcome::NotRun, Reason::Evacuated, idempotent)
+        };
+        assert_eq!(decide(failure, &mut rng), expected);
+    }
+}
