--- a/crates/router/tests/evacuation.rs
+++ b/crates/router/tests/evacuation.rs
@@ -6,10 +6,12 @@
 use ibiscove_http::{Pool, PoolSettings};
 use ibiscove_router::{EvacuationReading, RouterSettings};
 use ibiscove_store::MemoryPlatform;
+use smol::io::AsyncWriteExt;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicI64, Ordering};
+use std::sync::atomic::{AtomicI64, AtomicU32, Ordering};
 use std::time::Duration;
+use support::raw::{answer, get_on_new_connection, read_head, serve_raw};
 use support::{
     CountingUpstream, TestRouter, node_settings, send_request, start_node_with, wait_until_served,
 };
@@ -198,3 +200,62 @@
         assert_eq!(near_upstream.runs.load(Ordering::SeqCst), 0, "at no time");
     });
 }
+
+/// Requests that wait at the gate when their data centre is evacuated are refused, and
+/// those at work are answered.
+#[test]
+fn queued_requests_are_refused_and_running_ones_end() {
+    /// What the upstream of the support module announces.
+    const CONCURRENCY: u32 = 4;
+    /// Time in which the other requests reach the queue.
+    const QUEUEING: Duration = Duration::from_millis(50);
+    smol::block_on(async {
+        let runs = Arc::new(AtomicU32::new(0));
+        let (is_released, release) = smol::channel::bounded::<()>(1);
+        let counted = Arc::clone(&runs);
+        let addr = serve_raw(move |mut stream| {
+            let (runs, release) = (Arc::clone(&counted), release.clone());
+            async move {
+                while let Some(head) = read_head(&mut stream).await {
+                    if head.path.ends_with("held") {
+                        runs.fetch_add(1, Ordering::SeqCst);
+                        // Ends with an error when the sender is dropped.
+                        let _ = release.recv().await;
+                    }
+                    let answer = answer(&head.request_id);
+                    if stream.write_all(answer.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+            }
+        })
+        .await;
+        let settings = RouterSettings {
+            data_centre: "a".into(),
+            ..node_settings(160, "gallery", addr)
+        };
+        let born_ms = Arc::new(AtomicI64::new(1));
+        let table = MemoryPlatform::default();
+        let grantee = CountingUpstream::default();
+        let (router, entry) = start_node_with(160, settings, &table, grantee, born_ms).await;
+        router.apply_config(Bytes::from_static(b"1"));
+        wait_until_served(&Pool::new(PoolSettings::default()), entry, "/signs/1").await;
+        let callers: Vec<_> = (0..2 * CONCURRENCY)
+            .map(|_| smol::spawn(get_on_new_connection(entry, "/signs/held")))
+            .collect();
+        while runs.load(Ordering::SeqCst) < CONCURRENCY {
+            smol::Timer::after(Duration::from_millis(5)).await;
+        }
+        smol::Timer::after(QUEUEING).await;
+        router.apply_evacuations(1, all(&["a"]));
+        drop(is_released);
+        let mut answered = 0;
+        for caller in callers {
+            let status = caller.await;
+            answered += u32::from(status == Some(200));
+            assert!(matches!(status, Some(200 | 503)), "{status:?}");
+        }
+        assert_eq!(answered, CONCURRENCY, "those at work are answered");
+        assert_eq!(runs.load(Ordering::SeqCst), CONCURRENCY, "and no other ran");
+    });
+}
