--- a/crates/mesh/src/evacuations.rs
+++ b/crates/mesh/src/evacuations.rs
@@ -15,7 +15,7 @@
 /// Time after a node has heard of an evacuation for which owners in the data centre may
 /// still serve the keys that they have not handed over. Operators expect an evacuation
 /// to be in force within five seconds.
-pub const HANDOVER_PERIOD: Duration = Duration::from_millis(2_500);
+pub const HANDOVER_PERIOD: Duration = Duration::from_secs(3);
 /// Most bytes of all names together, so that they fit into a heartbeat beside the rest.
 pub const MAX_NAME_BYTES: usize = 320;
 /// Most data centres that are evacuated at a time.
--- a/crates/ranges/src/controller/evacuation.rs
+++ b/crates/ranges/src/controller/evacuation.rs
@@ -9,7 +9,7 @@
 /// Longest delay before an owner in an evacuated data centre hands its ranges over. All
 /// owners there do so in the same seconds, and their recipients and the table bear them
 /// better one after the other.
-const MAX_DELAY: Duration = Duration::from_millis(800);
+const MAX_DELAY: Duration = Duration::from_millis(300);
 
 impl<T: Table, G: Grantee, C: Clock + BootClock> RangeController<T, G, C> {
     /// Records whether the upstream's data centre is evacuated. Its ranges move to
