A peer that allows no time for handovers leaves the end that others know

Cause: of two ends for the same data centre the earlier one held. A node that restarts in the middle, or reads all rows again after a gap, allows no time, and its heartbeat took the time from every other node. Change: an end that is known stays; that of a peer or a reading counts for names that are new.

--- a/crates/mesh/src/evacuations.rs
+++ b/crates/mesh/src/evacuations.rs
@@ -69,7 +69,8 @@
     /// first if there are too many.
     ///
     /// When an evacuation that shows only in a reading of everything began is not
-    /// known, so that owners there get no time to hand keys over.
+    /// known, so that owners there get no time to hand keys over. One that is known
+    /// already keeps the end of its handovers.
     pub fn apply_reading(
         &mut self,
         version: RowVersion,
@@ -101,7 +102,8 @@
         }
     }
 
-    /// Applies the state that another node's heartbeat carries.
+    /// Applies the state that another node's heartbeat carries. A data centre that is
+    /// known to be evacuated keeps the end of its handovers.
     pub fn merge(&mut self, news: &EvacuationNews, now: Instant) -> EvacuationChange {
         let next: BTreeMap<DataCentre, Instant> = news
             .evacuated
@@ -138,8 +140,10 @@
         let is_first = self.version.replace(version).is_none();
         let known = &self.handover_ends;
         for (name, end) in &mut next {
-            if let Some(earlier) = known.get(name) {
-                *end = (*end).min(*earlier);
+            // A node that heard of the evacuation later, or read all rows again, knows
+            // less of when it began.
+            if let Some(known_end) = known.get(name) {
+                *end = *known_end;
             }
         }
         let is_new = |name: &&DataCentre| !known.contains_key(*name);
--- a/crates/mesh/tests/all/evacuations.rs
+++ b/crates/mesh/tests/all/evacuations.rs
@@ -170,6 +170,28 @@
     assert_eq!(second.handover_end("b"), None);
 }
 
+/// A peer that has restarted, or has read all rows again, allows no time itself. Others
+/// that know when the evacuation began keep the time that is left.
+#[parameterized(
+    same_version = { 6 },
+    later_version = { 7 },
+)]
+fn a_peer_that_allows_no_time_leaves_the_end_that_is_known(version: RowVersion) {
+    let now = Instant::now();
+    let mut state = EvacuationState::default();
+    read(&mut state, 5, all(&[]), now);
+    read(&mut state, 6, changes(&[("a", true)]), now);
+    let mut peer = EvacuationState::default();
+    read(&mut peer, version, all(&["a"]), now);
+    let news = peer.news(now).expect("it knows of an evacuation");
+    assert_eq!(news.evacuated, [("a".into(), Duration::ZERO)]);
+    state.merge(&news, now);
+    assert_eq!(state.handover_end("a"), Some(now + HANDOVER_PERIOD));
+    read(&mut state, 8, all(&["a", "b"]), now);
+    assert_eq!(state.handover_end("a"), Some(now + HANDOVER_PERIOD));
+    assert_eq!(state.handover_end("b"), Some(now));
+}
+
 /// It cannot know how long ago the row was written.
 #[test]
 fn a_node_that_reads_it_at_its_start_allows_no_time() {
