News of evacuations of a version that is known change nothing

Cause: beyond sixteen names two nodes that know of different members leave out different names; each heartbeat replaced the set of the other, with a change each. Change: at the version that a node knows, its own set stays. Result: the new test failed before and passes.

--- a/crates/mesh/src/evacuations.rs
+++ b/crates/mesh/src/evacuations.rs
@@ -103,7 +103,8 @@
     }
 
     /// Applies the state that another node's heartbeat carries. A data centre that is
-    /// known to be evacuated keeps the end of its handovers.
+    /// known to be evacuated keeps the end of its handovers. News of the version that is
+    /// known change nothing.
     pub fn merge(&mut self, news: &EvacuationNews, now: Instant) -> EvacuationChange {
         let next: BTreeMap<DataCentre, Instant> = news
             .evacuated
@@ -119,6 +120,10 @@
             };
         }
         self.is_told = true;
+        if self.version == Some(news.version) {
+            // It differs only where there are too many, and each node has left out others.
+            return EvacuationChange::default();
+        }
         self.replace(news.version, next)
     }
 
--- a/crates/mesh/tests/all/evacuations.rs
+++ b/crates/mesh/tests/all/evacuations.rs
@@ -218,3 +218,28 @@
     assert_eq!(change.left_out.len(), rows.len() - MAX_DATA_CENTRES);
     assert!(change.left_out.contains(&DataCentre::from(&*long)));
 }
+
+/// Nodes that know of different members leave out different names, and would undo each
+/// other's choice with every heartbeat.
+#[test]
+fn two_nodes_that_left_out_different_names_keep_theirs() {
+    let now = Instant::now();
+    let rows: Vec<String> = (0..=MAX_DATA_CENTRES).map(|i| format!("a{i:02}")).collect();
+    let rows: Vec<&str> = rows.iter().map(String::as_str).collect();
+    let state_of = |populated: &str| {
+        let mut state = EvacuationState::default();
+        state.apply_reading(5, all(&rows), |name| **name == *populated, now);
+        state
+    };
+    let (mut one, mut other) = (state_of("a00"), state_of("a16"));
+    assert_ne!(names(&one), names(&other));
+    let before = (one.clone(), other.clone());
+    for _ in 0..3 {
+        let (of_one, of_other) = (one.news(now), other.news(now));
+        let change = other.merge(&of_one.expect("it tells"), now);
+        assert!(!change.is_change());
+        let change = one.merge(&of_other.expect("it tells"), now);
+        assert!(!change.is_change());
+    }
+    assert_eq!((one, other), before);
+}
