A gate that knows nothing of evacuations yet refuses shared services as no-upstream

Cause: it refused them as evacuated, which entries do not retry without an alternative, though no operator had evacuated anything. Change: no-upstream, which entries retry. Result: the test names the reasons now instead of any reason; it failed before and passes.

--- a/crates/proxy/src/gate/evacuation.rs
+++ b/crates/proxy/src/gate/evacuation.rs
@@ -21,13 +21,15 @@
 
 impl Evacuation {
     /// Returns why a request is refused at `now`, if it is. Another node will own the
-    /// keys of a divided service; other requests are for other upstreams at once.
+    /// keys of a divided service; other requests are for other upstreams at once. While
+    /// nothing is known, this upstream may serve them soon, so that they are retried.
     pub fn refusal(self, is_divided: bool, now: Instant) -> Option<Reason> {
         match self {
             Self::None => None,
             Self::Evacuated { handover_ends } if is_divided && now < handover_ends => None,
             Self::Unknown | Self::Evacuated { .. } if is_divided => Some(Reason::Moving),
-            Self::Unknown | Self::Evacuated { .. } => Some(Reason::Evacuated),
+            Self::Unknown => Some(Reason::NoUpstream),
+            Self::Evacuated { .. } => Some(Reason::Evacuated),
         }
     }
 }
--- a/crates/proxy/tests/gate_evacuation.rs
+++ b/crates/proxy/tests/gate_evacuation.rs
@@ -24,7 +24,9 @@
 #[test]
 fn a_gate_that_has_heard_nothing_yet_admits_nothing() {
     let now = Instant::now();
-    assert!(Evacuation::Unknown.refusal(false, now).is_some());
-    assert!(Evacuation::Unknown.refusal(true, now).is_some());
+    let unknown = Evacuation::Unknown;
+    // Entries retry both, for the operator has not said that nothing may be sent.
+    assert_eq!(unknown.refusal(false, now), Some(Reason::NoUpstream));
+    assert_eq!(unknown.refusal(true, now), Some(Reason::Moving));
     assert_eq!(Evacuation::None.refusal(true, now), None);
 }
