The gate and the range controller act on the latest state of evacuations

Cause: two tasks that apply changes read the state, in two reads, and set the gate afterwards, so that the one with the earlier state could be the last to set it. Change: a lock around reading the state and setting both, and a single read.

--- a/crates/mesh/src/evacuations.rs
+++ b/crates/mesh/src/evacuations.rs
@@ -284,6 +284,12 @@
         change(&mut self.lock())
     }
 
+    /// Reads the state, of which all that `read` sees belongs together. It must not
+    /// block.
+    pub fn read<R>(&self, read: impl FnOnce(&EvacuationState) -> R) -> R {
+        read(&self.lock())
+    }
+
     /// Returns the evacuated data centres.
     pub fn names(&self) -> BTreeSet<DataCentre> {
         self.lock().names().cloned().collect()
--- a/crates/router/src/evacuation.rs
+++ b/crates/router/src/evacuation.rs
@@ -9,6 +9,7 @@
 use ibiscove_store::Table;
 use ibiscove_types::{BootClock, Clock, DataCentre, RowVersion};
 use std::collections::BTreeSet;
+use std::sync::PoisonError;
 
 impl<T: Table, G: Grantee, C: Clock + BootClock> Router<T, G, C> {
     /// Applies what was read of evacuations in the operator's table as of `version`,
@@ -83,9 +84,17 @@
     /// Makes this node's gate and its range controller act on the evacuation of its own
     /// data centre.
     pub(crate) fn update_evacuation(&self) {
+        let settings = &self.inner.settings;
+        // Of two tasks the later one must not act on an earlier state. The lock guards
+        // no data that a panic could leave inconsistent.
+        let enforcement = &self.inner.evacuation_enforcement;
+        let _guard = enforcement.lock().unwrap_or_else(PoisonError::into_inner);
         let evacuations = self.inner.members.evacuations();
-        let handover_end = evacuations.handover_end(&self.inner.settings.data_centre);
-        let is_known = evacuations.is_known() || !self.inner.settings.awaits_evacuations;
+        let (is_known, handover_end) = evacuations.read(|state| {
+            let handover_end = state.handover_end(&settings.data_centre);
+            (state.is_known(), handover_end)
+        });
+        let is_known = is_known || !settings.awaits_evacuations;
         self.inner.gate.set_evacuation(match handover_end {
             Some(handover_ends) => Evacuation::Evacuated { handover_ends },
             None if is_known => Evacuation::None,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -47,7 +47,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, OnceLock};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Parses the text of a configuration.
@@ -108,6 +108,9 @@
     heartbeat_due: Arc<Event>,
     /// Notified when this node's presence is to be passed on as news.
     spread_due: Event,
+    /// Held while what is known of evacuations is passed to the gate and the range
+    /// controller, so that both end up with the latest.
+    evacuation_enforcement: Mutex<()>,
     /// Configurations and maps that are being fetched from other nodes.
     active_fetches: catch_up::ActiveFetches,
     /// Whether the node is shutting down: not ready for callers, and its ranges
@@ -202,6 +205,7 @@
                 peer_server: Server::default(),
                 heartbeat_due,
                 spread_due: Event::new(),
+                evacuation_enforcement: Mutex::default(),
                 active_fetches: catch_up::ActiveFetches::default(),
                 is_shutting_down: AtomicBool::new(false),
                 is_withdrawn: AtomicBool::new(false),
--- a/crates/router/tests/evacuation.rs
+++ b/crates/router/tests/evacuation.rs
@@ -8,8 +8,8 @@
 use ibiscove_store::MemoryPlatform;
 use smol::io::AsyncWriteExt;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicI64, AtomicU32, Ordering};
+use std::sync::{Arc, Barrier};
 use std::time::Duration;
 use support::raw::{answer, get_on_new_connection, read_head, serve_raw};
 use support::{
@@ -184,6 +184,39 @@
     });
 }
 
+/// Readings and news arrive in several tasks at once. What was known first must not be
+/// what the gate acts on last.
+#[test]
+fn a_gate_acts_on_the_latest_of_several_changes_that_arrive_together() {
+    const ROUNDS: u64 = 100;
+    const TASKS: u64 = 8;
+    smol::block_on(async {
+        let pool = Pool::new(PoolSettings::default());
+        let table = MemoryPlatform::default();
+        let (router, _, entry) = start_in("a", 161, "gallery", &table).await;
+        router.apply_evacuations(1, all(&[]));
+        router.apply_config(Bytes::from_static(b"1"));
+        wait_until_served(&pool, entry, "/signs/1").await;
+        for round in 1..=ROUNDS {
+            let start = Barrier::new(TASKS as usize);
+            let apply = |task| {
+                start.wait();
+                // The last version of the round ends the evacuation.
+                let names: &[&str] = if task % 2 == 0 { &["a"] } else { &[] };
+                router.apply_evacuations(TASKS * round + task, all(names));
+            };
+            std::thread::scope(|scope| {
+                for task in 0..TASKS {
+                    let apply = &apply;
+                    scope.spawn(move || apply(task));
+                }
+            });
+            let (status, body) = send_request(&pool, entry, "/signs/1").await;
+            assert_eq!(status, 200, "round {round}: {body}");
+        }
+    });
+}
+
 /// The table is down, and a restarted node hears of the evacuation from a peer.
 #[test]
 fn a_node_that_starts_hears_of_an_evacuation_from_its_peers() {
