Handovers end within the operator's bound, however late a change is read

Cause: three seconds for handovers counted from when a node read the change. After a start the first feed is read up to 2.25 s after the rows were, and later still by a node that begins to follow or whose calls failed, so that gates could serve beyond the bound.

--- a/crates/mesh/src/evacuations.rs
+++ b/crates/mesh/src/evacuations.rs
@@ -26,8 +26,14 @@
 pub enum Reading {
     /// All evacuated data centres.
     All(BTreeSet<DataCentre>),
-    /// Those that changed since the last reading, and whether each is evacuated.
-    Changes(Vec<(DataCentre, bool)>),
+    /// Those that changed since the last reading.
+    Changes {
+        /// Each, and whether it is evacuated.
+        changes: Vec<(DataCentre, bool)>,
+        /// Until when owners may hand keys over at the latest, however late the changes
+        /// were read.
+        latest_handover_end: Instant,
+    },
 }
 
 /// Effect of news on the state.
@@ -83,7 +89,10 @@
         }
         let (mut next, handover_end) = match reading {
             Reading::All(all) => (all, now),
-            Reading::Changes(changes) => {
+            Reading::Changes {
+                changes,
+                latest_handover_end,
+            } => {
                 let mut next: BTreeSet<_> = self.handover_ends.keys().cloned().collect();
                 for (data_centre, is_evacuated) in changes {
                     match is_evacuated {
@@ -91,7 +100,7 @@
                         false => next.remove(&data_centre),
                     };
                 }
-                (next, now + HANDOVER_PERIOD)
+                (next, latest_handover_end.min(now + HANDOVER_PERIOD))
             }
         };
         let left_out = remove_excess(&mut next, is_populated);
--- a/crates/mesh/tests/all/evacuations.rs
+++ b/crates/mesh/tests/all/evacuations.rs
@@ -14,8 +14,15 @@
 }
 
 fn changes(changes: &[(&str, bool)]) -> Reading {
+    changes_until(changes, Instant::now() + 2 * HANDOVER_PERIOD)
+}
+
+fn changes_until(changes: &[(&str, bool)], latest_handover_end: Instant) -> Reading {
     let changes = changes.iter();
-    Reading::Changes(changes.map(|(name, is)| ((*name).into(), *is)).collect())
+    Reading::Changes {
+        changes: changes.map(|(name, is)| ((*name).into(), *is)).collect(),
+        latest_handover_end,
+    }
 }
 
 fn read(state: &mut EvacuationState, version: RowVersion, reading: Reading, now: Instant) {
@@ -170,6 +177,26 @@
     assert_eq!(second.handover_end("b"), None);
 }
 
+/// The row may have been there for a while when a node reads the changes, and the
+/// operator's period began when it was written.
+#[parameterized(
+    in_time = { Duration::from_millis(4_500), HANDOVER_PERIOD },
+    late = { Duration::from_millis(2_250), Duration::from_millis(2_250) },
+    too_late = { Duration::ZERO, Duration::ZERO },
+)]
+fn changes_that_are_read_late_leave_less_time(left: Duration, expected: Duration) {
+    let now = Instant::now();
+    let mut state = EvacuationState::default();
+    read(&mut state, 5, all(&[]), now);
+    read(
+        &mut state,
+        6,
+        changes_until(&[("a", true)], now + left),
+        now,
+    );
+    assert_eq!(state.handover_end("a"), Some(now + expected));
+}
+
 /// A peer that has restarted, or has read all rows again, allows no time itself. Others
 /// that know when the evacuation began keep the time that is left.
 #[parameterized(
--- a/crates/router/tests/evacuation.rs
+++ b/crates/router/tests/evacuation.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicI64, AtomicU32, Ordering};
 use std::sync::{Arc, Barrier};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use support::raw::{answer, get_on_new_connection, read_head, serve_raw};
 use support::{
     CountingUpstream, TestRouter, node_settings, send_request, start_node_with, wait_until_served,
@@ -40,6 +40,13 @@
     EvacuationReading::All(names.iter().map(|name| (*name).into()).collect())
 }
 
+fn evacuated(data_centre: &str) -> EvacuationReading {
+    EvacuationReading::Changes {
+        changes: vec![(data_centre.into(), true)],
+        latest_handover_end: Instant::now() + Duration::from_millis(4_500),
+    }
+}
+
 /// Sends requests until twenty in a row were answered, of which none has reached
 /// `upstream`.
 async fn wait_until_spared(
@@ -90,7 +97,7 @@
         }
         wait_until_served(&pool, near_entry, "/signs/1").await;
         wait_until_reached(&pool, near_entry, "/signs/1", &near_upstream).await;
-        let changes = EvacuationReading::Changes(vec![("a".into(), true)]);
+        let changes = evacuated("a");
         far.apply_evacuations(2, changes);
         wait_until_spared(&pool, near_entry, "/signs/1", &near_upstream).await;
         wait_until_spared(&pool, far_entry, "/signs/1", &near_upstream).await;
@@ -153,7 +160,7 @@
             true => ("a", &near_upstream),
             false => ("b", &far_upstream),
         };
-        let changes = EvacuationReading::Changes(vec![(data_centre.into(), true)]);
+        let changes = evacuated(data_centre);
         far.apply_evacuations(2, changes);
         wait_until_spared(&pool, near_entry, "/pay/1", upstream).await;
         wait_until_spared(&pool, far_entry, "/pay/1", upstream).await;
