Datagrams with news carry no evacuations, which get one of their own

Cause: the most evacuations and a full batch of news together could exceed the largest datagram that is received, and neither would arrive. Change: news leave evacuations out, a receiver does not take that for none, and a change of evacuations is passed on in a datagram without news even when there are some. Result: the new test fails when they are not left out, and passes.

--- a/crates/mesh/src/heartbeat.rs
+++ b/crates/mesh/src/heartbeat.rs
@@ -28,6 +28,27 @@
     pub crashes: Vec<RequestCrashes>,
 }
 
+impl News {
+    /// Returns whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.map_changes.is_empty() && self.crashes.is_empty()
+    }
+
+    /// Adds the news to a heartbeat. They leave no room for evacuations, which are left
+    /// out.
+    pub fn add_to(self, mut presence: Presence) -> Presence {
+        if !self.is_empty() {
+            presence.evacuations_version = None;
+            presence.evacuations = None;
+        }
+        Presence {
+            map_changes: Some(self.map_changes).filter(|changes| !changes.is_empty()),
+            crashes: Some(self.crashes).filter(|crashes| !crashes.is_empty()),
+            ..presence
+        }
+    }
+}
+
 /// Sends heartbeats when they are due, until the task is dropped.
 ///
 /// `own_presence` returns this node's state, `push_requested` makes the next
@@ -76,11 +97,7 @@
     };
     loop {
         for news in next_news().await {
-            let presence = Presence {
-                map_changes: Some(news.map_changes).filter(|changes| !changes.is_empty()),
-                crashes: Some(news.crashes).filter(|crashes| !crashes.is_empty()),
-                ..own_presence()
-            };
+            let presence = news.add_to(own_presence());
             let targets = members.sample(SPREAD_FANOUT, &mut fastrand::Rng::new());
             send_to_all(&socket, port, &presence, targets).await;
         }
@@ -164,6 +181,13 @@
     pub evacuations: Option<EvacuationNews>,
 }
 
+impl Content {
+    /// Returns whether the sender would have told of evacuations if it knew of any.
+    pub fn has_room_for_evacuations(&self) -> bool {
+        self.news.is_empty()
+    }
+}
+
 /// Decodes a heartbeat that was received from `from`.
 pub fn decode_member(
     datagram: &[u8],
--- a/crates/mesh/tests/all/heartbeats.rs
+++ b/crates/mesh/tests/all/heartbeats.rs
@@ -1,10 +1,13 @@
 //! Datagrams that are no heartbeat of a node, or an odd one.
 
-use ibiscove_mesh::heartbeat::decode_member;
+use ibiscove_mesh::evacuations::{EvacuationNews, MAX_DATA_CENTRES, MAX_NAME_BYTES};
+use ibiscove_mesh::heartbeat::{News, decode_member};
 use ibiscove_wire::encode;
-use ibiscove_wire::messages::{Evacuation, Presence, RangeMapEpoch, UpstreamPresence};
+use ibiscove_wire::messages::{
+    Evacuation, Presence, RangeMapChange, RangeMapEpoch, RequestCrashes, UpstreamPresence,
+};
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use yare::parameterized;
 
 fn presence() -> Presence {
@@ -93,3 +96,52 @@
         }
     }
 }
+
+/// Most evacuations at a time do not lengthen the datagrams that carry news, and fit into
+/// one that carries none.
+#[test]
+fn evacuations_are_told_only_where_there_is_room() {
+    /// Largest datagram that is received.
+    const MAX_DATAGRAM: usize = 1_400;
+    let from = SocketAddr::from(([10, 1, 0, 9], 7_620));
+    let name = "z".repeat(MAX_NAME_BYTES / MAX_DATA_CENTRES);
+    let all = EvacuationNews {
+        version: i64::MAX as u64 >> 16,
+        evacuated: vec![(name.into(), Duration::from_secs(3)); MAX_DATA_CENTRES],
+    };
+    let mut presence = presence();
+    EvacuationNews::encode(Some(all.clone()), &mut presence);
+    let datagram = encode(&News::default().add_to(presence.clone())).expect("it is valid");
+    assert!(datagram.len() <= MAX_DATAGRAM / 2, "{}", datagram.len());
+    let (_, content) = decode_member(&datagram, from, Instant::now()).expect("it is valid");
+    assert!(content.has_room_for_evacuations());
+    assert_eq!(content.evacuations, Some(all));
+
+    let map_changes = News {
+        map_changes: vec![RangeMapChange {
+            service_name: "deposits".to_owned(),
+            section: 0,
+            version: 1,
+            from_epoch: 1,
+            to_epoch: 2,
+            assignments: Vec::new(),
+        }],
+        ..News::default()
+    };
+    let crashes = News {
+        crashes: vec![RequestCrashes {
+            fingerprint: vec![0; 16],
+            clearings: 0,
+            crashes: 1,
+            crashed_ms: 1,
+        }],
+        ..News::default()
+    };
+    for news in [map_changes, crashes] {
+        let datagram = encode(&news.clone().add_to(presence.clone())).expect("it is valid");
+        let (_, content) = decode_member(&datagram, from, Instant::now()).expect("it is valid");
+        assert_eq!((&content.news, &content.evacuations), (&news, &None));
+        // That it names none does not tell that there is none.
+        assert!(!content.has_room_for_evacuations());
+    }
+}
--- a/crates/router/src/catch_up.rs
+++ b/crates/router/src/catch_up.rs
@@ -23,6 +23,9 @@
     /// Handles a heartbeat: applies its news and fetches what else its sender has
     /// newer.
     pub(crate) fn handle_heartbeat(&self, member: &Member, is_new: bool, content: Content) {
+        if content.evacuations.is_some() || content.has_room_for_evacuations() {
+            self.apply_evacuation_news(member, content.evacuations);
+        }
         map_news::apply(&self.inner.maps, content.news.map_changes);
         let now = self.inner.clock.now();
         crash_news::apply(
@@ -32,7 +35,6 @@
             now,
         );
         self.compare_suspects(member, content.crashes_digest);
-        self.apply_evacuation_news(member, content.evacuations);
         if is_new {
             // The new member may not know this node yet.
             self.inner.heartbeat_due.notify(usize::MAX);
--- a/crates/router/src/evacuation.rs
+++ b/crates/router/src/evacuation.rs
@@ -10,6 +10,7 @@
 use ibiscove_types::{BootClock, Clock, DataCentre, RowVersion};
 use std::collections::BTreeSet;
 use std::sync::PoisonError;
+use std::sync::atomic::Ordering;
 
 impl<T: Table, G: Grantee, C: Clock + BootClock> Router<T, G, C> {
     /// Applies what was read of evacuations in the operator's table as of `version`,
@@ -39,6 +40,9 @@
             None => return,
         };
         if change.is_change() {
+            self.inner
+                .is_evacuation_unspread
+                .store(true, Ordering::Release);
             self.inner.spread_due.notify(usize::MAX);
         }
         if change.is_peer_behind {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -108,6 +108,8 @@
     heartbeat_due: Arc<Event>,
     /// Notified when this node's presence is to be passed on as news.
     spread_due: Event,
+    /// Whether a change of evacuations is to be passed on, in a datagram of its own.
+    is_evacuation_unspread: AtomicBool,
     /// Held while what is known of evacuations is passed to the gate and the range
     /// controller, so that both end up with the latest.
     evacuation_enforcement: Mutex<()>,
@@ -205,6 +207,7 @@
                 peer_server: Server::default(),
                 heartbeat_due,
                 spread_due: Event::new(),
+                is_evacuation_unspread: AtomicBool::new(false),
                 evacuation_enforcement: Mutex::default(),
                 active_fetches: catch_up::ActiveFetches::default(),
                 is_shutting_down: AtomicBool::new(false),
@@ -298,7 +301,8 @@
         let spread_due = inner.spread_due.listen();
         let mut map_news = inner.maps.take_news();
         let mut crash_news = inner.suspects.take_news();
-        if map_news.is_empty() && crash_news.is_empty() {
+        let is_unspread = inner.is_evacuation_unspread.load(Ordering::Acquire);
+        if map_news.is_empty() && crash_news.is_empty() && !is_unspread {
             maps_changed.or(spread_due).or(suspects_changed).await;
             inner.clock.sleep(NEWS_COALESCE_DELAY).await;
             map_news = inner.maps.take_news();
@@ -312,9 +316,10 @@
             })
             .collect();
         batches.extend(crash_news::batches(crash_news));
-        if batches.is_empty() {
-            // The presence alone tells of the newer configuration.
-            batches.push(News::default());
+        let is_unspread = inner.is_evacuation_unspread.swap(false, Ordering::AcqRel);
+        if batches.is_empty() || is_unspread {
+            // The presence alone tells of the newer configuration and of evacuations.
+            batches.insert(0, News::default());
         }
         batches
     }
