--- a/crates/mesh/src/heartbeat.rs
+++ b/crates/mesh/src/heartbeat.rs
@@ -1,6 +1,7 @@
 //! Heartbeats: one datagram to every other node, at an interval and at once
 //! when the node's state changes.
 
+use crate::evacuations::EvacuationNews;
 use crate::members::{Member, Members, Upstream};
 use event_listener::Event;
 use ibiscove_types::{Clock, ServiceName, UpstreamIncarnation};
@@ -27,6 +28,27 @@
     pub crashes: Vec<RequestCrashes>,
 }
 
+impl News {
+    /// Returns whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.map_changes.is_empty() && self.crashes.is_empty()
+    }
+
+    /// Adds the news to a heartbeat. They leave no room for evacuations, which are left
+    /// out.
+    pub fn add_to(self, mut presence: Presence) -> Presence {
+        if !self.is_empty() {
+            presence.evacuations_version = None;
+            presence.evacuations = None;
+        }
+        Presence {
+            map_changes: Some(self.map_changes).filter(|changes| !changes.is_empty()),
+            crashes: Some(self.crashes).filter(|crashes| !crashes.is_empty()),
+            ..presence
+        }
+    }
+}
+
 /// Sends heartbeats when they are due, until the task is dropped.
 ///
 /// `own_presence` returns this node's state, `push_requested` makes the next
@@ -75,11 +97,7 @@
     };
     loop {
         for news in next_news().await {
-            let presence = Presence {
-                map_changes: Some(news.map_changes).filter(|changes| !changes.is_empty()),
-                crashes: Some(news.crashes).filter(|crashes| !crashes.is_empty()),
-                ..own_presence()
-            };
+            let presence = news.add_to(own_presence());
             let targets = members.sample(SPREAD_FANOUT, &mut fastrand::Rng::new());
             send_to_all(&socket, port, &presence, targets).await;
         }
@@ -159,6 +177,15 @@
     /// Hash of all that it knows of requests beside which upstreams have crashed; 0 if
     /// that is nothing.
     pub crashes_digest: u64,
+    /// The evacuated data centres, if the sender tells of any.
+    pub evacuations: Option<EvacuationNews>,
+}
+
+impl Content {
+    /// Returns whether the sender would have told of evacuations if it knew of any.
+    pub fn has_room_for_evacuations(&self) -> bool {
+        self.news.is_empty()
+    }
 }
 
 /// Decodes a heartbeat that was received from `from`.
@@ -167,8 +194,9 @@
     from: SocketAddr,
     now: Instant,
 ) -> Result<(Member, Content), HeartbeatError> {
-    let presence: Presence = decode(datagram)?;
+    let mut presence: Presence = decode(datagram)?;
     let out_of_range = HeartbeatError::Range;
+    let evacuations = EvacuationNews::decode(&mut presence).map_err(out_of_range)?;
     let unsigned =
         |value: i64, field| u64::try_from(value).map_err(|_| HeartbeatError::Range(field));
     let port = u16::try_from(presence.gate_port)
@@ -186,6 +214,7 @@
             crashes: presence.crashes.unwrap_or_default(),
         },
         crashes_digest: presence.crashes_digest.unwrap_or_default() as u64,
+        evacuations,
     };
     let member = Member {
         name: presence.node.into(),
--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -5,11 +5,13 @@
 //! A request fails as `not-run` only if the upstream certainly did not run it.
 
 mod crashes;
+pub mod evacuation;
 mod exchange;
 mod load;
 mod slow_start;
 
 pub use crashes::CLOSE_DELAY;
+pub use evacuation::Evacuation;
 pub use load::GateLoad;
 
 use crate::forward::RequestMetadata;
@@ -168,6 +170,7 @@
     /// Whether the gate refuses all new requests, because the node is about to
     /// exit.
     is_closed: AtomicBool,
+    evacuation: Mutex<Evacuation>,
 }
 
 /// Latency estimates of the upstream.
@@ -292,6 +295,12 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn evacuation(&self) -> MutexGuard<'_, Evacuation> {
+        self.evacuation
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn crash_watch(&self) -> MutexGuard<'_, CrashWatch<Option<suspects::SentCopy>>> {
         self.crash_watch
             .lock()
@@ -346,6 +355,7 @@
                 slow_start: slow_start::SlowStartState::default(),
                 pacing_due: Event::new(),
                 is_closed: AtomicBool::new(false),
+                evacuation: Mutex::default(),
             }),
         }
     }
@@ -363,6 +373,12 @@
         self.inner.is_closed.store(true, Ordering::Release);
     }
 
+    /// Sets what is known of the evacuation of this node's data centre. Queued
+    /// requests are refused at their turn, and running ones end as usual.
+    pub fn set_evacuation(&self, evacuation: Evacuation) {
+        *self.inner.evacuation() = evacuation;
+    }
+
     /// Starts queued requests as the limit of the upstream allows it, until the task
     /// is dropped. Requests that wait for a slot only are started by the one that
     /// frees it.
@@ -535,6 +551,9 @@
         {
             return Err(Reason::Draining);
         }
+        if let Some(reason) = self.inner.evacuation().refusal(keys.is_some(), now) {
+            return Err(reason);
+        }
         match (keys, metadata.key) {
             (None, _) => Ok(upstream),
             (Some(_), None) => Err(Reason::NoKey),
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod catch_up;
 pub mod crash_news;
+mod evacuation;
 mod join;
 mod live_grantee;
 mod maintenance;
@@ -16,6 +17,7 @@
 mod stored_suspects;
 mod stored_withdrawals;
 
+pub use ibiscove_mesh::evacuations::{EvacuationState, Reading as EvacuationReading};
 pub use settings::{RouterAddrs, RouterSettings};
 
 use crate::live_grantee::LiveGrantee;
@@ -24,6 +26,7 @@
 use ibiscove_http::body::BodyBudget;
 use ibiscove_http::{Pool, PoolSettings, Server, ServerSettings};
 use ibiscove_mesh::directory::Introductions;
+use ibiscove_mesh::evacuations::EvacuationNews;
 use ibiscove_mesh::heartbeat::News;
 use ibiscove_mesh::{Members, Upstream, followers, heartbeat};
 use ibiscove_proxy::entry::{EntryDependencies, NodeIdentity};
@@ -45,7 +48,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, OnceLock};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Parses the text of a configuration.
@@ -106,6 +109,11 @@
     heartbeat_due: Arc<Event>,
     /// Notified when this node's presence is to be passed on as news.
     spread_due: Event,
+    /// Whether a change of evacuations is to be passed on, in a datagram of its own.
+    is_evacuation_unspread: AtomicBool,
+    /// Held while what is known of evacuations is passed to the gate and the range
+    /// controller, so that both end up with the latest.
+    evacuation_enforcement: Mutex<()>,
     /// Configurations and maps that are being fetched from other nodes.
     active_fetches: catch_up::ActiveFetches,
     /// Whether the node is shutting down: not ready for callers, and its ranges
@@ -200,12 +208,15 @@
                 peer_server: Server::default(),
                 heartbeat_due,
                 spread_due: Event::new(),
+                is_evacuation_unspread: AtomicBool::new(false),
+                evacuation_enforcement: Mutex::default(),
                 active_fetches: catch_up::ActiveFetches::default(),
                 is_shutting_down: AtomicBool::new(false),
                 is_withdrawn: AtomicBool::new(false),
                 settings,
             }),
         };
+        router.update_evacuation();
         router.start_tasks(callers, peers, mesh);
         if let Some(addr) = router.inner.settings.addrs.metrics {
             let page = listen("metrics", addr).await?;
@@ -296,7 +307,8 @@
         let spread_due = inner.spread_due.listen();
         let mut map_news = inner.maps.take_news();
         let mut crash_news = inner.suspects.take_news();
-        if map_news.is_empty() && crash_news.is_empty() {
+        let is_unspread = inner.is_evacuation_unspread.load(Ordering::Acquire);
+        if map_news.is_empty() && crash_news.is_empty() && !is_unspread {
             maps_changed.or(spread_due).or(suspects_changed).await;
             inner.clock.sleep(NEWS_COALESCE_DELAY).await;
             map_news = inner.maps.take_news();
@@ -310,9 +322,10 @@
             })
             .collect();
         batches.extend(crash_news::batches(crash_news));
-        if batches.is_empty() {
-            // The presence alone tells of the newer configuration.
-            batches.push(News::default());
+        let is_unspread = inner.is_evacuation_unspread.swap(false, Ordering::AcqRel);
+        if batches.is_empty() || is_unspread {
+            // The presence alone tells of the newer configuration and of evacuations.
+            batches.insert(0, News::default());
         }
         batches
     }
@@ -437,6 +450,7 @@
         });
         if inner.range_controller.set(controller.clone()).is_ok() {
             inner.gate.set_key_ownership(controller.clone());
+            self.update_evacuation();
             smol::spawn(controller.run()).detach();
             self.update_range_controller();
         }
@@ -489,7 +503,7 @@
                     .saturating_duration_since(current.received_at),
             ),
         });
-        Presence {
+        let mut presence = Presence {
             node: inner.settings.node.to_string(),
             incarnation: inner.incarnation as i64,
             sequence: inner.sequence.fetch_add(1, Ordering::Relaxed) as i64,
@@ -512,7 +526,12 @@
                 .get()
                 .map_or(0, |controller| controller.lease_version())
                 as i64,
-        }
+            evacuations_version: None,
+            evacuations: None,
+        };
+        let evacuations = inner.members.evacuations();
+        EvacuationNews::encode(evacuations.news(inner.clock.now()), &mut presence);
+        presence
     }
 }
 
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -50,6 +50,9 @@
     /// Limits on the requests that callers send before the ones before them are
     /// answered. None but idempotent ones start early.
     pub pipeline: PipelineSettings,
+    /// Whether evacuations are applied to this node, so that its gate refuses requests
+    /// until it has heard whether its data centre is evacuated.
+    pub awaits_evacuations: bool,
     /// Settings of the entry.
     pub entry: EntrySettings,
     /// Settings of the gate.
@@ -83,6 +86,7 @@
                 max_requests: 16,
                 ..PipelineSettings::default()
             },
+            awaits_evacuations: false,
             entry: EntrySettings::default(),
             gate: GateSettings::default(),
             local_upstream: LocalUpstreamSettings::default(),
--- a/crates/router/tests/pipelines.rs
+++ b/crates/router/tests/pipelines.rs
@@ -15,7 +15,9 @@
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicI64;
 use std::sync::{Arc, Mutex, MutexGuard};
-use support::{CountingUpstream, start_node_beside, start_node_with, wait_until_served};
+use support::{
+    CountingUpstream, node_settings, start_node_beside, start_node_with, wait_until_served,
+};
 
 /// Requests to `/signs/together/ROUND/N` of a round that have to be at the upstream at
 /// a time before it answers any of them.
@@ -140,18 +142,11 @@
         let upstream = serve_upstream(meeting.clone()).await;
         let settings = RouterSettings {
             max_response_memory: 1 << 20,
-            ..RouterSettings::default()
+            ..node_settings(91, "gallery", upstream)
         };
-        let (router, callers) = start_node_with(
-            settings,
-            91,
-            "gallery",
-            &table,
-            CountingUpstream::default(),
-            upstream,
-            Arc::new(AtomicI64::new(1)),
-        )
-        .await;
+        let grantee = CountingUpstream::default();
+        let born_ms = Arc::new(AtomicI64::new(1));
+        let (router, callers) = start_node_with(91, settings, &table, grantee, born_ms).await;
         assert!(router.apply_config("7".into()));
         let pool = Pool::new(PoolSettings::default());
         wait_until_served(&pool, callers, "/signs/alone").await;
