A connection of the request path keeps no room for a request while it is idle

The future is now boxed for each request at its innermost, at entries and gates, and the layers around it hold a pointer.

--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -239,7 +239,9 @@
             move |head| early_entry.may_start_early(head),
             move |req| {
                 let entry = entry.clone();
-                async move { respond_despite_panic(entry.handle(req), "entry").await }
+                // Otherwise each connection has room for a request, even while it is idle.
+                let work = Box::pin(async move { entry.handle(req).await });
+                respond_despite_panic(work, "entry")
             },
         );
         let peer_handler = Arc::new(PeerServer {
@@ -256,7 +258,8 @@
             .run(peers, ServerSettings::default(), {
                 move |req| {
                     let handler = Arc::clone(&peer_handler);
-                    async move { respond_despite_panic(handler.handle(req), "gate").await }
+                    let work = Box::pin(async move { handler.handle(req).await });
+                    respond_despite_panic(work, "gate")
                 }
             });
         smol::spawn(serve_callers).detach();
