Map updates, permits and latencies have modules of their own

Writes of the range map, with the pause after a conflict, move to controller/map_updates.rs; places in the queue and permits to gate/permit.rs; latency estimates to gate/latencies.rs. Only visibilities and the comment on update_map change, which told of the earlier handling of conflicts.

--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -7,12 +7,15 @@
 mod crashes;
 pub mod evacuation;
 mod exchange;
+mod latencies;
 mod load;
+mod permit;
 mod slow_start;
 
 pub use crashes::CLOSE_DELAY;
 pub use evacuation::Evacuation;
 pub use load::GateLoad;
+pub use permit::Permit;
 
 use crate::forward::RequestMetadata;
 use crate::headers::HeaderNames;
@@ -28,17 +31,14 @@
 use ibiscove_http::body::BodyBudget;
 use ibiscove_http::{Body, Pool};
 use ibiscove_ranges::controller::{KeyStatus, RangeController};
-use ibiscove_routing::admission::{
-    AdmissionController, AdmissionDecision, AdmissionRequest, Dequeued, Ticket,
-};
+use ibiscove_routing::admission::{AdmissionController, AdmissionDecision, AdmissionRequest};
 use ibiscove_routing::crash_watch::{CrashWatch, SendId};
 use ibiscove_routing::hang_detector::HangDetector;
-use ibiscove_routing::latency_estimate::LatencyEstimate;
 use ibiscove_store::Table;
 use ibiscove_types::{BootClock, Clock, Key, Outcome, Reason, UpstreamIncarnation};
-use smol::channel::{Receiver, Sender};
+use latencies::{DEFAULT_LATENCY, Latencies};
+use permit::{QueueGuard, Waiter};
 use smol::future::FutureExt;
-use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
@@ -173,38 +173,6 @@
     evacuation: Mutex<Evacuation>,
 }
 
-/// Latency estimates of the upstream.
-#[derive(Default)]
-struct Latencies {
-    by_route: HashMap<Arc<str>, LatencyEstimate>,
-    /// Moving average of all routes together.
-    overall_seconds: Option<f64>,
-}
-
-/// Item of the admission queue. Its channel delivers the permit of the request,
-/// or a time after which there may be free capacity.
-struct Waiter<K, C> {
-    tx: Sender<Result<Permit<K, C>, Duration>>,
-    estimate: Duration,
-}
-
-/// Permission to run one request at the upstream. Dropping it admits the next.
-pub struct Permit<K, C> {
-    gate: Arc<Inner<K, C>>,
-    estimate: Duration,
-}
-
-impl<K, C> Drop for Permit<K, C> {
-    fn drop(&mut self) {
-        // Dequeued requests are notified without the lock: the permit of one that
-        // was abandoned meanwhile is dropped, which re-enters this function.
-        let dequeued = self.gate.admission().finish(self.estimate, Instant::now());
-        Inner::notify(&self.gate, dequeued);
-        // The freed slot may be one for which the next request must be paced.
-        self.gate.pacing_due.notify(1);
-    }
-}
-
 /// A request that was sent to the upstream. Dropping it before `is_done` is set
 /// means that it was abandoned.
 struct SentRequest<K, C> {
@@ -265,24 +233,6 @@
         Self::notify(self, dequeued);
     }
 
-    /// Delivers permits and refusals to dequeued requests.
-    fn notify(gate: &Arc<Self>, dequeued: Vec<Dequeued<Waiter<K, C>>>) {
-        for request in dequeued {
-            match request {
-                Dequeued::Run(waiter) => {
-                    let permit = Permit {
-                        gate: Arc::clone(gate),
-                        estimate: waiter.estimate,
-                    };
-                    drop(waiter.tx.try_send(Ok(permit)));
-                }
-                Dequeued::Refuse(waiter, retry_after) => {
-                    drop(waiter.tx.try_send(Err(retry_after)));
-                }
-            }
-        }
-    }
-
     fn admission(&self) -> MutexGuard<'_, AdmissionController<Waiter<K, C>>> {
         self.admission
             .lock()
@@ -314,19 +264,6 @@
     }
 }
 
-/// A request's place in the queue. Dropping it removes the request.
-struct QueueGuard<K, C> {
-    gate: Arc<Inner<K, C>>,
-    ticket: Ticket,
-    rx: Receiver<Result<Permit<K, C>, Duration>>,
-}
-
-impl<K, C> Drop for QueueGuard<K, C> {
-    fn drop(&mut self) {
-        drop(self.gate.admission().cancel(&self.ticket));
-    }
-}
-
 impl<K: KeyOwnership, C: Clock> Gate<K, C> {
     /// Creates a gate for the local upstream.
     pub fn new(
@@ -629,35 +566,4 @@
             .deadline
             .saturating_duration_since(self.inner.clock.now())
     }
-
-    fn latency_estimate(&self, metadata: &RequestMetadata) -> LatencyEstimate {
-        let recorded = self
-            .inner
-            .latencies()
-            .by_route
-            .get(&metadata.route)
-            .copied();
-        recorded.unwrap_or(LatencyEstimate::with_initial(initial_estimate(metadata)))
-    }
-
-    fn record_latency(&self, metadata: &RequestMetadata, elapsed: Duration) {
-        let mut latencies = self.inner.latencies();
-        // A slow first sample must not become the estimate.
-        let first = LatencyEstimate::with_initial(elapsed.min(initial_estimate(metadata)));
-        let estimate = latencies.by_route.entry(Arc::clone(&metadata.route));
-        estimate.or_insert(first).record(elapsed);
-        let elapsed = elapsed.as_secs_f64();
-        let average = latencies.overall_seconds.get_or_insert(elapsed);
-        *average += (elapsed - *average) * self.inner.settings.overall_ewma_weight;
-    }
-}
-
-/// Target latencies are commonly set at a few times the typical latency.
-const LATENCIES_PER_TARGET: u32 = 4;
-/// Latency estimate of an upstream before the first sample.
-const DEFAULT_LATENCY: Duration = Duration::from_millis(50);
-
-/// Returns the latency estimate of a route before the first sample.
-fn initial_estimate(metadata: &RequestMetadata) -> Duration {
-    metadata.target_latency / LATENCIES_PER_TARGET
 }
--- a/crates/ranges/src/controller/coordinate.rs
+++ b/crates/ranges/src/controller/coordinate.rs
@@ -4,7 +4,8 @@
 //! hold a lease. When two members consider themselves the coordinator, one of
 //! their transactions fails.
 
-use super::{RangeController, TransferReason, changed_sections, log_unanswered_change};
+use super::RangeController;
+use super::map_updates::{TransferReason, changed_sections, log_unanswered_change};
 use crate::balance::assign_ranges;
 use crate::grants::Grantee;
 use crate::map::{Assignment, KeyRange, Owner, RangeMap, Transfer, section_of};
--- a/crates/ranges/src/controller/moving.rs
+++ b/crates/ranges/src/controller/moving.rs
@@ -2,8 +2,9 @@
 //! shuts down, to joining members, and when this upstream is more loaded or
 //! slower than others.
 
+use super::RangeController;
 use super::coordinate::owner_of;
-use super::{RangeController, TransferReason};
+use super::map_updates::TransferReason;
 use crate::balance::{self, Candidate, OffloadReason};
 use crate::grants::{GrantDelivery, Grantee, ReleaseCall, ReleaseReply};
 use crate::map::{Claim, KeyRange, Owner, RangeMap, SectionIndex, Transfer, section_of};
