--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -22,7 +22,7 @@
 use ibiscove_mesh::Members;
 use ibiscove_ranges::RangeMaps;
 use ibiscove_routing::retry::{self, FailedAttempt, RetryDecision};
-use ibiscove_types::{Clock, DataCentre, Fence, NodeName, Outcome, Reason, ServiceName};
+use ibiscove_types::{BootClock, Clock, DataCentre, Fence, NodeName, Outcome, Reason, ServiceName};
 use plan::RequestPlan;
 use shared_state::{CallerTimeoutsByRoute, RetryBudgets, UnservedRangesByService};
 use smol::future::FutureExt;
@@ -132,6 +132,8 @@
     retry_budgets: RetryBudgets,
     caller_timeouts: CallerTimeoutsByRoute,
     unserved: UnservedRangesByService,
+    /// Identifies this process in forwarded requests.
+    process: u32,
 }
 
 /// Attempts made so far at a request.
@@ -156,7 +158,7 @@
     }
 }
 
-impl<K: KeyOwnership, C: Clock> Entry<K, C> {
+impl<K: KeyOwnership, C: Clock + BootClock> Entry<K, C> {
     /// Creates an entry.
     pub fn new(deps: EntryDependencies<K, C>) -> Self {
         Self {
@@ -167,6 +169,7 @@
                 retry_budgets: RetryBudgets::default(),
                 caller_timeouts: CallerTimeoutsByRoute::default(),
                 unserved: UnservedRangesByService::default(),
+                process: fastrand::u32(..),
             }),
         }
     }
--- a/crates/proxy/src/entry/attempt.rs
+++ b/crates/proxy/src/entry/attempt.rs
@@ -3,20 +3,22 @@
 
 use super::plan::RequestPlan;
 use super::{Attempts, Entry};
+use crate::forward::RequestMetadata;
 use crate::gate::{GateLoad, KeyOwnership, Permit};
 use crate::headers::{self, GATE_LOAD, OUTCOME};
 use crate::refusal::Refusal;
 use crate::relay::{RelayedResponse, read_response};
+use crate::transit::SentTime;
 use crate::upstream_selection::{CandidateSet, InFlightRequest, Target};
 use ibiscove_http::SendError;
 use ibiscove_routing::placement::{Candidate, Distance};
-use ibiscove_types::{Clock, Reason, ServiceName, format_fingerprint};
+use ibiscove_types::{BootClock, Clock, Reason, ServiceName, format_fingerprint};
 use smol::future::FutureExt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-impl<K: KeyOwnership, C: Clock> Entry<K, C> {
+impl<K: KeyOwnership, C: Clock + BootClock> Entry<K, C> {
     pub(super) async fn attempt(
         &self,
         plan: &mut RequestPlan,
@@ -193,7 +195,12 @@
     ) -> Result<RelayedResponse<Permit<K, C>>, Refusal> {
         let deps = self.deps();
         let mut to = plan.outbound.headers.clone();
-        if let Err(err) = plan.metadata.write(&mut to, deps.clock.now()) {
+        let sent = SentTime::new(self.inner.process, deps.clock.since_boot());
+        let metadata = RequestMetadata {
+            sent: Some(sent),
+            ..plan.metadata.clone()
+        };
+        if let Err(err) = metadata.write(&mut to, deps.clock.now()) {
             log::error!(
                 "the metadata of a request cannot be serialised; the request is refused: {err}"
             );
--- a/crates/proxy/src/entry/plan.rs
+++ b/crates/proxy/src/entry/plan.rs
@@ -11,7 +11,7 @@
 use hyper::header::HOST;
 use hyper::http::uri::PathAndQuery;
 use ibiscove_routing::admission;
-use ibiscove_types::{Clock, FingerprintParts, Key, Reason};
+use ibiscove_types::{BootClock, Clock, FingerprintParts, Key, Reason};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -31,7 +31,7 @@
     pub(super) arrived: Instant,
 }
 
-impl<K: KeyOwnership, C: Clock> Entry<K, C> {
+impl<K: KeyOwnership, C: Clock + BootClock> Entry<K, C> {
     /// Finds the route and derives the plan of a request from it.
     pub(super) fn plan(
         &self,
@@ -85,6 +85,7 @@
             upstream_notice: None,
             fingerprint: None,
             crash_record: None,
+            sent: None,
         };
         let outbound = OutboundRequest {
             method: head.method.clone(),
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -1,6 +1,7 @@
 //! The header in which an entry sends a request's metadata to a gate.
 
 use crate::headers::{self, FORWARD};
+use crate::transit::SentTime;
 use crate::upstream_notice::NoticeReport;
 use hyper::HeaderMap;
 use ibiscove_routing::admission::Priority;
@@ -45,6 +46,8 @@
     pub fingerprint: Option<Fingerprint>,
     /// What the entry knows of crashes beside copies of the request.
     pub crash_record: Option<CrashRecord>,
+    /// When it was sent to the gate; none from a node that does not tell.
+    pub sent: Option<SentTime>,
 }
 
 /// The header's content as JSON. Times are relative because clocks differ.
@@ -70,6 +73,8 @@
     fingerprint: Option<String>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     crashes: Option<CrashRecord>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    sent: Option<SentTime>,
 }
 
 impl RequestMetadata {
@@ -95,6 +100,7 @@
             notice: self.upstream_notice.clone(),
             fingerprint: self.fingerprint.map(format_fingerprint),
             crashes: self.crash_record,
+            sent: self.sent,
         };
         to.insert(FORWARD, headers::value(&serde_json::to_string(&fields)?));
         Ok(())
@@ -119,6 +125,14 @@
             upstream_notice: fields.notice.filter(NoticeReport::is_valid),
             fingerprint: fields.fingerprint.as_deref().and_then(parse_fingerprint),
             crash_record: fields.crashes,
+            sent: fields.sent,
         })
     }
+
+    /// Takes the time off that the request has waited on its way to the gate.
+    pub fn deduct(&mut self, wait: Duration) {
+        let earlier = |at: Instant| at.checked_sub(wait).unwrap_or(at);
+        self.target_deadline = earlier(self.target_deadline);
+        self.deadline = earlier(self.deadline);
+    }
 }
--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -546,7 +546,8 @@
             ticket,
             rx,
         };
-        let max_wait = (metadata.deadline - estimate / 2).saturating_duration_since(now);
+        let max_wait = metadata.deadline.saturating_duration_since(now);
+        let max_wait = max_wait.saturating_sub(estimate / 2);
         let admitted = async { queued.rx.recv().await.unwrap_or(Err(Duration::ZERO)) };
         let too_late = async {
             self.inner.clock.sleep(max_wait).await;
--- a/crates/proxy/src/peer_api.rs
+++ b/crates/proxy/src/peer_api.rs
@@ -8,6 +8,7 @@
 use crate::relay::RelayedResponse;
 use crate::routes::ConfigCell;
 use crate::suspects::Suspects;
+use crate::transit::TransitBySender;
 use hyper::body::Incoming;
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Request, Response};
@@ -17,7 +18,7 @@
 use ibiscove_ranges::map::SectionIndex;
 use ibiscove_ranges::maps::SectionUpdate;
 use ibiscove_routing::quarantine::CrashRecord;
-use ibiscove_types::{Clock, Outcome, Reason, ServiceName};
+use ibiscove_types::{BootClock, Clock, Outcome, Reason, ServiceName};
 use serde::Serialize;
 use smol::future::FutureExt;
 use std::net::SocketAddr;
@@ -54,9 +55,11 @@
     pub clock: C,
     /// Memory for the bodies of requests.
     pub body_budget: BodyBudget,
+    /// How long requests wait on their way.
+    pub transit: TransitBySender,
 }
 
-impl<K: KeyOwnership, C: Clock> PeerServer<K, C> {
+impl<K: KeyOwnership, C: Clock + BootClock> PeerServer<K, C> {
     /// Responds to a request of another node.
     pub async fn handle(&self, req: Request<Incoming>) -> RelayedResponse<Permit<K, C>> {
         let path = req.uri().path();
@@ -72,7 +75,10 @@
         if path == SUSPECTS_PATH {
             return respond_json("suspects", &self.suspects.records());
         }
-        let metadata = RequestMetadata::read(req.headers(), self.clock.now());
+        let mut metadata = RequestMetadata::read(req.headers(), self.clock.now());
+        if let Some(metadata) = &mut metadata {
+            self.deduct_wait(metadata);
+        }
         let fingerprint = metadata.as_ref().and_then(|metadata| metadata.fingerprint);
         let mut response = match self.run_forwarded(metadata, req).await {
             Ok(mut response) => {
@@ -94,6 +100,18 @@
         response
     }
 
+    /// Deducts the time that a request has waited on a link, after which its caller may
+    /// have left.
+    fn deduct_wait(&self, metadata: &mut RequestMetadata) {
+        let Some(sent) = metadata.sent else {
+            return;
+        };
+        let now = self.clock.since_boot();
+        let wait = self.transit.record(&metadata.entry_node, sent, now);
+        metrics::histogram!("ibiscove_transit_wait_seconds").record(wait);
+        metadata.deduct(wait);
+    }
+
     async fn run_forwarded(
         &self,
         metadata: Option<RequestMetadata>,
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -29,4 +29,5 @@
 pub mod retry;
 pub mod sketch;
 pub mod slow_start;
+pub mod transit;
 pub mod unserved;
