Calls rank with the order that waits for them, orders make way for their calls

Cause: nested calls came before all orders with at most half of an upstream, whatever their parent was worth, and orders ran although the calls that they would make were being turned away.

Change: the gate knows which requests run at its upstream and so which order waits for a call (deadline, then what usually runs meanwhile). Where requests of several priorities compete, the call ranks with that order and has until its target; of calls and orders that wait for one upstream the less urgent get a fifth. While calls are turned away, the gate refuses the share of the orders that found no room before they run.

--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -27,6 +27,9 @@
     pub idempotent: bool,
     /// Its priority; 0 is the most urgent.
     pub priority: Priority,
+    /// The priority of the order that waits for it, if it is a call of a known one and
+    /// competes with requests of other priorities.
+    pub parent_priority: Option<Priority>,
     /// Target latency of its route.
     pub target_latency: Duration,
     /// When its target latency has passed.
@@ -57,6 +60,8 @@
     key: Option<Key>,
     idempotent: bool,
     priority: Priority,
+    #[serde(default, rename = "parent", skip_serializing_if = "Option::is_none")]
+    parent_priority: Option<Priority>,
     latency_ms: u64,
     target_ms: u64,
     left_ms: u64,
@@ -86,6 +91,7 @@
             key: self.key,
             idempotent: self.idempotent,
             priority: self.priority,
+            parent_priority: self.parent_priority,
             latency_ms: u64::try_from(self.target_latency.as_millis()).unwrap_or(u64::MAX),
             target_ms: remaining_ms(self.target_deadline),
             left_ms: remaining_ms(self.deadline),
@@ -110,6 +116,7 @@
             key: fields.key,
             idempotent: fields.idempotent,
             priority: fields.priority,
+            parent_priority: fields.parent_priority,
             target_latency: Duration::from_millis(fields.latency_ms),
             target_deadline: now + Duration::from_millis(fields.target_ms),
             deadline: now + Duration::from_millis(fields.left_ms),
--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -4,10 +4,12 @@
 //! or refuses the excess, and checks that each response belongs to its request.
 //! A request fails as `not-run` only if the upstream certainly did not run it.
 
+mod calls;
 mod crashes;
 mod exchange;
 mod load;
 
+pub use calls::queue_priority;
 pub use crashes::CLOSE_DELAY;
 pub use load::GateLoad;
 
@@ -152,6 +154,7 @@
     key_ownership: OnceLock<K>,
     admission: Mutex<AdmissionController<Waiter<K, C>>>,
     latencies: Mutex<Latencies>,
+    calls: Mutex<calls::Calls>,
     hang_detector: Mutex<HangDetector>,
     crash_watch: Mutex<CrashWatch<Option<suspects::SentCopy>>>,
     /// Notified when a queued request may have to wait for the upstream's limit.
@@ -327,6 +330,7 @@
                 key_ownership: OnceLock::new(),
                 admission: Mutex::new(AdmissionController::new(1)),
                 latencies: Mutex::default(),
+                calls: Mutex::default(),
                 hang_detector: Mutex::default(),
                 crash_watch: Mutex::default(),
                 pacing_due: Event::new(),
@@ -447,6 +451,7 @@
             self.adopt_report(report);
         }
         let upstream = self.check_admission(metadata).map_err(Refusal::not_run)?;
+        self.check_calls(metadata)?;
         let _turn = self.take_turn(metadata).await?;
         let permit = self.acquire_permit(metadata, &upstream).await?;
         // The state may have changed while the request was queued.
@@ -463,6 +468,7 @@
         };
         let addr = self.inner.local_upstream.addr();
         let mut sent = self.begin_send(metadata, &upstream);
+        let _running = self.begin_run(metadata);
         metrics::counter!("ibiscove_upstream_requests_total").increment(1);
         let exchange = async {
             match self.inner.pool.send(addr, req, max_idle).await {
@@ -540,7 +546,7 @@
         let latency = self.latency_estimate(metadata);
         let estimate = latency.mean();
         let request = AdmissionRequest {
-            priority: metadata.priority,
+            priority: metadata.parent_priority.unwrap_or(metadata.priority),
             target: metadata.target_deadline,
             deadline: metadata.deadline,
             estimate,
@@ -552,7 +558,10 @@
         let decision = {
             let mut admission = self.inner.admission();
             admission.set_concurrency(upstream.announcement.concurrency as usize);
-            admission.offer(request, waiter, now)
+            match metadata.parent_priority {
+                Some(_) => admission.offer_call(request, waiter, now),
+                None => admission.offer(request, waiter, now),
+            }
         };
         let ticket = match decision {
             AdmissionDecision::Run => {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -7,6 +7,9 @@
 //! them. `docs/requests.md` lists the alternatives considered for each decision.
 
 pub mod admission;
+pub mod call_parents;
+pub mod call_pressure;
+pub mod call_rank;
 pub mod caller_timeouts;
 pub mod choice;
 pub mod crash_watch;
