--- a/crates/proxy/src/entry/plan.rs
+++ b/crates/proxy/src/entry/plan.rs
@@ -97,7 +97,9 @@
                 .as_ref()
                 .map(|parent| queue_priority(parent.priority)),
             target_latency: route.target_latency,
-            target_deadline: parent.as_ref().map_or(own_target, |parent| parent.target),
+            target_deadline: parent
+                .as_ref()
+                .map_or(own_target, |parent| parent.call_target(arrived)),
             deadline: arrived + timeout.min(route.timeout),
             may_miss_target: true,
             caller_service: deps.identity.service.clone(),
--- a/crates/routing/src/call_parents.rs
+++ b/crates/routing/src/call_parents.rs
@@ -36,11 +36,19 @@
     pub route: RouteName,
     /// Its priority.
     pub priority: Priority,
-    /// Time by which its response meets its latency target. Whether a call meets its
-    /// own target does not matter to the caller.
+    /// Time by which its response meets its latency target.
     pub target: Instant,
 }
 
+impl Parent {
+    /// Returns the time by which a call should be answered: in half of the time that is
+    /// left until the order's target. The order has more work to do after the call, and
+    /// holds a slot of its upstream while it waits.
+    pub fn call_target(&self, now: Instant) -> Instant {
+        now + self.target.saturating_duration_since(now) / 2
+    }
+}
+
 /// Learns on which routes the orders are that make the calls of a route.
 #[derive(Debug, Default)]
 pub struct CallParents {
--- a/crates/routing/tests/competition.rs
+++ b/crates/routing/tests/competition.rs
@@ -5,7 +5,7 @@
 use ibiscove_routing::admission::{
     AdmissionController, AdmissionDecision, AdmissionRequest, Dequeued, NESTED_CALLS, Ticket,
 };
-use ibiscove_routing::call_parents::RouteName;
+use ibiscove_routing::call_parents::{Parent, RouteName};
 use ibiscove_routing::call_pressure::CallPressure;
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
@@ -52,6 +52,14 @@
     }
 }
 
+fn parent_of_call(target: Instant) -> Parent {
+    Parent {
+        route: "calling".into(),
+        priority: Kind::Calling as u8,
+        target,
+    }
+}
+
 /// Which decisions the simulation makes.
 #[derive(Clone, Copy, Debug)]
 struct Policy {
@@ -111,7 +119,7 @@
 }
 
 /// An order that makes calls.
-struct Parent {
+struct OpenOrder {
     deadline: Instant,
     open_calls: u32,
     is_counted: bool,
@@ -130,7 +138,7 @@
     admission: AdmissionController<u64>,
     requests: HashMap<u64, Request>,
     running: usize,
-    parents: HashMap<u64, Parent>,
+    parents: HashMap<u64, OpenOrder>,
     pressure: CallPressure,
     route: RouteName,
     counts: BTreeMap<Kind, Counts>,
@@ -213,7 +221,7 @@
         let work = self.random_time(ms(60));
         let deadline = self.now + kind.deadline();
         let id = self.schedule(work, Event::Call(self.next_id + 1));
-        let parent = Parent {
+        let parent = OpenOrder {
             deadline,
             open_calls: 2,
             is_counted,
@@ -236,7 +244,7 @@
             (None, _) => self.now + ms(250),
             (Some(_), false) => self.now + ms(100),
             // The latency target of the order equals its timeout.
-            (Some(_), true) => deadline,
+            (Some(_), true) => parent_of_call(deadline).call_target(self.now),
         };
         let req = AdmissionRequest {
             priority: match parent.is_some() && !self.policy.is_ranked {
@@ -431,7 +439,7 @@
     }
 }
 
-/// The upstream of a node that has calls of an order of the least urgent kind.
+/// Fills the only slot, and offers less urgent requests before more urgent ones.
 fn offer_all(admission: &mut AdmissionController<&'static str>, now: Instant) {
     let req = |priority| AdmissionRequest {
         priority,
