Calls run first, within the room that more urgent orders leave

Change: calls keep their place in the queue, and are refused at once beyond the room that orders more urgent than theirs leave, a fifth at least.

--- a/crates/proxy/src/entry/plan.rs
+++ b/crates/proxy/src/entry/plan.rs
@@ -76,13 +76,11 @@
         let is_nested = observed_timeouts.is_nested();
         let find_parent = || {
             let parent = deps.gate.parent_of_call(&route.name, arrived + timeout)?;
-            // Ranks matter only where requests of several priorities compete.
+            // Their order matters only where requests of several priorities compete.
             let competes = table.has_other_priority(service, route, parent.priority);
             competes.then_some(parent)
         };
         let parent = is_nested.then(find_parent).flatten();
-        let own_target =
-            arrived + observed_timeouts.remaining_target(route.target_latency, timeout);
         let metadata = RequestMetadata {
             service: Arc::clone(service),
             route: Arc::clone(&route.name),
@@ -97,9 +95,8 @@
                 .as_ref()
                 .map(|parent| queue_priority(parent.priority)),
             target_latency: route.target_latency,
-            target_deadline: parent
-                .as_ref()
-                .map_or(own_target, |parent| parent.call_target(arrived)),
+            target_deadline: arrived
+                + observed_timeouts.remaining_target(route.target_latency, timeout),
             deadline: arrived + timeout.min(route.timeout),
             may_miss_target: true,
             caller_service: deps.identity.service.clone(),
--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -546,7 +546,7 @@
         let latency = self.latency_estimate(metadata);
         let estimate = latency.mean();
         let request = AdmissionRequest {
-            priority: metadata.parent_priority.unwrap_or(metadata.priority),
+            priority: metadata.priority,
             target: metadata.target_deadline,
             deadline: metadata.deadline,
             estimate,
@@ -559,7 +559,7 @@
             let mut admission = self.inner.admission();
             admission.set_concurrency(upstream.announcement.concurrency as usize);
             match metadata.parent_priority {
-                Some(_) => admission.offer_call(request, waiter, now),
+                Some(parent) => admission.offer_call(parent, request, waiter, now),
                 None => admission.offer(request, waiter, now),
             }
         };
--- a/crates/proxy/src/gate/calls.rs
+++ b/crates/proxy/src/gate/calls.rs
@@ -86,7 +86,6 @@
             // A call without a known order says nothing of its own calls.
             priority: configured_priority(priority)?,
             is_call: metadata.parent_priority.is_some(),
-            target: metadata.target_deadline,
             deadline: metadata.deadline,
         };
         let mut calls = self.inner.calls();
--- a/crates/proxy/tests/routes.rs
+++ b/crates/proxy/tests/routes.rs
@@ -102,7 +102,7 @@
     assert!(apply(7));
 }
 
-/// Calls rank with their orders only where requests of several priorities compete.
+/// What a call is worth matters only where requests of several priorities compete.
 #[parameterized(
     with_another_priority = { 2, true },
     with_the_same_priority = { 0, false },
--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -8,7 +8,7 @@
 //! is ordered by priority, then requests that can still meet their latency
 //! target before late requests, which cannot, then by earliest target.
 
-use crate::call_rank::{CallBalance, MAX_UNKNOWN_SHARE, MIN_SHARE, Rank};
+use crate::call_room::{CallRoom, WorkRate};
 use crate::pacing::Pacer;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -16,11 +16,10 @@
 /// Priority of a request; 0 is the most urgent.
 pub type Priority = u8;
 
-/// Priority of nested calls, which running requests make, whose parents are not
-/// known. They run first, since the work of their parent requests is already spent,
-/// but get at most half of the upstream while other requests wait: their parents may
-/// be the least urgent of all. Those with known parents are offered as such
-/// ([`AdmissionController::offer_call`]).
+/// Priority of nested calls, which running requests make. They run first, since
+/// the work of their parent requests is already spent, but get at most half of
+/// the upstream while other requests wait: their parents may be the least urgent
+/// of all.
 pub const NESTED_CALLS: Priority = 0;
 
 /// Priority, time limits and estimates of a request that arrives at the gate.
@@ -45,7 +44,7 @@
 /// Identifies a queued request; the order of tickets is the order of the queue.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Ticket {
-    rank: Rank,
+    priority: Priority,
     misses_target: bool,
     target: Instant,
     sequence: u64,
@@ -84,38 +83,22 @@
     running_work: Duration,
     waiting: BTreeMap<Ticket, (AdmissionRequest, T)>,
     next_sequence: u64,
-    /// Shares the upstream between calls and orders while both wait.
-    call_balance: CallBalance,
+    /// Work of nested calls minus that of other requests, dequeued while both
+    /// waited, in seconds.
+    nested_surplus: f64,
     /// The upstream is unresponsive and gets one request at a time.
     is_probing: bool,
     /// Spaces the starts of requests while the upstream names a limit.
     pacer: Option<Pacer>,
     /// Moving average of the estimates of all requests, in seconds.
     mean_estimate: Option<f64>,
-    /// Moving average of the share of late requests that ran, by rank; 1 where there
-    /// is no entry.
-    late_run_share: BTreeMap<Rank, f64>,
-    /// Work that arrives, by rank.
-    arrivals: BTreeMap<Rank, WorkRate>,
-}
-
-/// Exponentially decaying rate of work, in slots.
-#[derive(Clone, Copy, Debug)]
-struct WorkRate {
-    slots: f64,
-    updated: Instant,
-}
-
-impl WorkRate {
-    fn at(&self, now: Instant) -> f64 {
-        let age = now.saturating_duration_since(self.updated);
-        self.slots * (-age.div_duration_f64(ARRIVAL_WINDOW)).exp()
-    }
-
-    fn add(&mut self, work: Duration, now: Instant) {
-        self.slots = self.at(now) + work.div_duration_f64(ARRIVAL_WINDOW);
-        self.updated = now;
-    }
+    /// Moving average of the share of late requests that ran, by priority; 1 where
+    /// there is no entry.
+    late_run_share: BTreeMap<Priority, f64>,
+    /// Work that arrives, by priority.
+    arrivals: BTreeMap<Priority, WorkRate>,
+    /// Calls of known orders that were admitted.
+    call_room: CallRoom,
 }
 
 impl<T> AdmissionController<T> {
@@ -127,12 +110,13 @@
             running_work: Duration::ZERO,
             waiting: BTreeMap::new(),
             next_sequence: 0,
-            call_balance: CallBalance::default(),
+            nested_surplus: 0.0,
             is_probing: false,
             pacer: None,
             mean_estimate: None,
             late_run_share: BTreeMap::new(),
             arrivals: BTreeMap::new(),
+            call_room: CallRoom::default(),
         }
     }
 
@@ -204,28 +188,7 @@
         item: impl FnOnce() -> T,
         now: Instant,
     ) -> AdmissionDecision {
-        self.offer_ranked(Rank::of(req.priority), req, item, now)
-    }
-
-    /// Decides on a call that an upstream makes for an order; its priority is that of
-    /// the order.
-    pub fn offer_call(
-        &mut self,
-        req: AdmissionRequest,
-        item: impl FnOnce() -> T,
-        now: Instant,
-    ) -> AdmissionDecision {
-        self.offer_ranked(Rank::of_call(req.priority), req, item, now)
-    }
-
-    fn offer_ranked(
-        &mut self,
-        rank: Rank,
-        req: AdmissionRequest,
-        item: impl FnOnce() -> T,
-        now: Instant,
-    ) -> AdmissionDecision {
-        self.record_arrival(rank, &req, now);
+        self.record_arrival(&req, now);
         if self.is_probing && self.running > 0 {
             return AdmissionDecision::Refuse {
                 retry_after: self.drain_time(),
@@ -237,13 +200,13 @@
             self.start(&req, now);
             return AdmissionDecision::Run;
         }
-        let ticket = self.ticket_for(rank, &req, now);
+        let ticket = self.ticket_for(&req, now);
         let wait = self.expected_wait(&ticket, now);
         let required = match ticket.misses_target {
             true => (wait + req.upper_estimate).mul_f64(LATE_DEADLINE_FACTOR),
             false => wait + req.estimate,
         };
-        let is_starved = ticket.misses_target && self.is_late_starved(rank);
+        let is_starved = ticket.misses_target && self.is_late_starved(req.priority);
         let should_run_elsewhere = ticket.misses_target && !req.may_miss_target;
         if is_starved || should_run_elsewhere || now + required > req.deadline {
             return AdmissionDecision::Refuse {
@@ -255,6 +218,38 @@
         AdmissionDecision::Wait(ticket)
     }
 
+    /// Decides on a nested call whose order has the priority `parent`. It is queued
+    /// like all calls, while calls of such orders have not taken the room that more
+    /// urgent orders leave.
+    pub fn offer_call(
+        &mut self,
+        parent: Priority,
+        req: AdmissionRequest,
+        item: impl FnOnce() -> T,
+        now: Instant,
+    ) -> AdmissionDecision {
+        let is_contended = self.running >= self.concurrency || !self.waiting.is_empty();
+        if is_contended {
+            let more_urgent = self.arrivals.range(..parent);
+            let orders = more_urgent.filter(|(priority, _)| **priority != NESTED_CALLS);
+            let urgent: f64 = orders.map(|(_, rate)| rate.at(now)).sum();
+            let capacity = self.capacity();
+            if self
+                .call_room
+                .is_taken(parent, urgent / capacity, capacity, now)
+            {
+                return AdmissionDecision::Refuse {
+                    retry_after: self.drain_time(),
+                };
+            }
+        }
+        let decision = self.offer(req, item, now);
+        if !matches!(decision, AdmissionDecision::Refuse { .. }) {
+            self.call_room.record(parent, req.estimate, now);
+        }
+        decision
+    }
+
     /// Removes a queued request that its caller abandoned.
     pub fn cancel(&mut self, ticket: &Ticket) -> Option<T> {
         let late_ticket = Ticket {
@@ -275,15 +270,15 @@
     fn record_late_result(&mut self, ticket: &Ticket, has_run: bool) {
         if ticket.misses_target {
             let sample = if has_run { 1.0 } else { 0.0 };
-            let run_share = self.late_run_share.entry(ticket.rank).or_insert(1.0);
+            let run_share = self.late_run_share.entry(ticket.priority).or_insert(1.0);
             *run_share += (sample - *run_share) * LATE_SAMPLE_WEIGHT;
         }
     }
 
-    /// Returns whether most late requests of a rank were overtaken until they
+    /// Returns whether most late requests of a priority were overtaken until they
     /// could no longer run.
-    fn is_late_starved(&mut self, rank: Rank) -> bool {
-        let Some(run_share) = self.late_run_share.get_mut(&rank) else {
+    fn is_late_starved(&mut self, priority: Priority) -> bool {
+        let Some(run_share) = self.late_run_share.get_mut(&priority) else {
             return false;
         };
         let is_starved = *run_share < MIN_LATE_RUN_SHARE;
@@ -323,9 +318,7 @@
                 dequeued.push(Dequeued::Refuse(item, self.drain_time()));
                 continue;
             }
-            let waiting = self.waiting.keys().map(|waiting| waiting.rank);
-            let work = req.estimate.as_secs_f64();
-            self.call_balance.record(ticket.rank, work, waiting);
+            self.record_nested_share(&req);
             self.start(&req, now);
             dequeued.push(Dequeued::Run(item));
         }
@@ -338,29 +331,20 @@
     /// more urgent ones keep overtaking them: their callers can still go elsewhere.
     fn refuse_hopeless(&mut self, now: Instant) -> Vec<Dequeued<T>> {
         let mut ahead = self.mean_running_work();
-        let mut calls_ahead = ahead;
         let mut hopeless = Vec::new();
-        // Tickets are in order of rank, so the share is computed once for each.
+        // Tickets are in order of priority, so the share is computed once for each.
         let mut last_share = None;
         for (ticket, (req, _)) in &self.waiting {
             let share = match last_share {
-                Some((rank, share)) if rank == ticket.rank => share,
-                _ => self.urgent_share(ticket.rank, now),
+                Some((priority, share)) if priority == ticket.priority => share,
+                _ => self.urgent_share(ticket.priority, now),
             };
-            last_share = Some((ticket.rank, share));
-            let is_order = ticket.rank.is_order();
-            let mut wait = self.per_slot(ahead).div_f64(1.0 - share);
-            if !is_order {
-                wait = wait.min(self.per_slot(calls_ahead).div_f64(MIN_SHARE));
-            }
+            last_share = Some((ticket.priority, share));
+            let wait = self.per_slot(ahead).div_f64(1.0 - share);
             let required = wait.mul_f64(HOPELESS_WAIT_SHARE) + req.estimate;
-            if now + required > req.deadline {
-                hopeless.push(*ticket);
-                continue;
-            }
-            ahead += req.estimate;
-            if !is_order {
-                calls_ahead += req.estimate;
+            match now + required > req.deadline {
+                true => hopeless.push(*ticket),
+                false => ahead += req.estimate,
             }
         }
         if hopeless.is_empty() {
@@ -377,12 +361,9 @@
         refused
     }
 
-    fn record_arrival(&mut self, rank: Rank, req: &AdmissionRequest, now: Instant) {
-        let none = WorkRate {
-            slots: 0.0,
-            updated: now,
-        };
-        let rate = self.arrivals.entry(rank).or_insert(none);
+    fn record_arrival(&mut self, req: &AdmissionRequest, now: Instant) {
+        let rate = self.arrivals.entry(req.priority);
+        let rate = rate.or_insert(WorkRate::new(now));
         rate.add(req.estimate, now);
         let estimate = req.estimate.as_secs_f64();
         let mean = self.mean_estimate.get_or_insert(estimate);
@@ -391,25 +372,44 @@
 
     /// Returns the share of the slots that more urgent requests take at the rate at
     /// which they arrive.
-    fn urgent_share(&self, rank: Rank, now: Instant) -> f64 {
+    fn urgent_share(&self, priority: Priority, now: Instant) -> f64 {
         let concurrency = self.capacity();
-        let more_urgent = self.arrivals.range(..rank);
+        let more_urgent = self.arrivals.range(..priority);
         let shares = more_urgent.map(|(urgent, rate)| {
             let share = rate.at(now) / concurrency;
-            match urgent.is_unknown_call() {
-                true => share.min(MAX_UNKNOWN_SHARE),
+            match *urgent == NESTED_CALLS {
+                true => share.min(MAX_NESTED_SHARE),
                 false => share,
             }
         });
         shares.sum::<f64>().min(MAX_URGENT_SHARE)
     }
 
-    /// Removes the next request from the queue: the first, unless calls or orders are
-    /// due first.
+    /// Removes the next request from the queue: the first, or the first that is not
+    /// a nested call while nested calls have received more than half.
     fn pop_next(&mut self) -> Option<(Ticket, (AdmissionRequest, T))> {
-        let tickets = self.waiting.keys().copied();
-        let next = self.call_balance.next(tickets, |ticket| ticket.rank)?;
-        self.waiting.remove_entry(&next)
+        let first_other = self
+            .waiting
+            .keys()
+            .find(|ticket| ticket.priority != NESTED_CALLS);
+        match first_other.copied().filter(|_| self.nested_surplus > 0.0) {
+            Some(ticket) => self.waiting.remove_entry(&ticket),
+            None => self.waiting.pop_first(),
+        }
+    }
+
+    /// Adds the work of a dequeued request to the surplus, or subtracts it, if both
+    /// kinds wait; resets the surplus if only one does.
+    fn record_nested_share(&mut self, req: &AdmissionRequest) {
+        let is_nested = req.priority == NESTED_CALLS;
+        let mut waiting = self.waiting.keys();
+        let is_contended = waiting.any(|ticket| (ticket.priority == NESTED_CALLS) != is_nested);
+        let work = req.estimate.as_secs_f64();
+        match (is_contended, is_nested) {
+            (true, true) => self.nested_surplus += work,
+            (true, false) => self.nested_surplus -= work,
+            (false, _) => self.nested_surplus = 0.0,
+        }
     }
 
     /// Returns whether a request that is about to run can no longer meet its target
@@ -417,7 +417,7 @@
     fn should_demote(&self, ticket: &Ticket, req: &AdmissionRequest, now: Instant) -> bool {
         let next = self.waiting.first_key_value().map(|(next, _)| next);
         let others_meet_target =
-            next.is_some_and(|next| next.rank == ticket.rank && !next.misses_target);
+            next.is_some_and(|next| next.priority == ticket.priority && !next.misses_target);
         !ticket.misses_target && now + req.estimate > req.target && others_meet_target
     }
 
@@ -440,9 +440,9 @@
         self.running_work += req.estimate;
     }
 
-    fn ticket_for(&self, rank: Rank, req: &AdmissionRequest, now: Instant) -> Ticket {
+    fn ticket_for(&self, req: &AdmissionRequest, now: Instant) -> Ticket {
         let ticket = Ticket {
-            rank,
+            priority: req.priority,
             misses_target: false,
             target: req.target,
             sequence: self.next_sequence,
@@ -456,30 +456,17 @@
 
     /// Returns how long a request with this ticket would wait.
     fn expected_wait(&self, ticket: &Ticket, now: Instant) -> Duration {
-        let (mut same_kind, mut more_urgent, mut less_urgent) = Default::default();
-        let (mut urgent_ratio, mut ratio) = (1.0_f64, 0.0_f64);
+        let is_nested = ticket.priority == NESTED_CALLS;
+        let (mut same_kind, mut other_kind) = (Duration::ZERO, Duration::ZERO);
         for (waiting, (req, _)) in &self.waiting {
-            let is_same_kind = waiting.rank.is_order() == ticket.rank.is_order();
-            let min_ratio = ticket.rank.min_ratio(waiting.rank);
-            let work: &mut Duration = match is_same_kind {
-                true if waiting < ticket => &mut same_kind,
-                true => continue,
-                false if waiting.rank < ticket.rank => {
-                    urgent_ratio = urgent_ratio.max(min_ratio.recip());
-                    &mut more_urgent
-                }
-                false => {
-                    ratio = ratio.max(min_ratio);
-                    &mut less_urgent
-                }
-            };
-            *work += req.estimate;
+            match (waiting.priority == NESTED_CALLS) == is_nested {
+                true if waiting < ticket => same_kind += req.estimate,
+                true => {}
+                false => other_kind += req.estimate,
+            }
         }
-        // Of calls and orders, the less urgent get their least share meanwhile.
-        let own = same_kind.max(self.mean_running_work());
-        let work_ahead = same_kind
-            + more_urgent.min(own.mul_f64(urgent_ratio))
-            + less_urgent.min(own.mul_f64(ratio));
+        // Neither kind gets more than half while the other waits.
+        let work_ahead = same_kind + other_kind.min(same_kind.max(self.mean_running_work()));
         // Slots become free one after the other: the first after the mean running
         // time divided by the number of slots.
         let wait = self.per_slot(work_ahead + self.mean_running_work());
@@ -520,9 +507,8 @@
 const ESTIMATE_SAMPLE_WEIGHT: f64 = 0.05;
 /// Least capacity, in slots, at a limit or an estimate close to 0.
 const MIN_CAPACITY: f64 = 0.01;
-/// Time over which the rate of arrivals is averaged: several service times, and
-/// less than the time that callers commonly have.
-const ARRIVAL_WINDOW: Duration = Duration::from_millis(500);
+/// Largest share of the slots that nested calls take while other requests wait.
+const MAX_NESTED_SHARE: f64 = 0.5;
 /// Upper limit of the share of the slots that counts as taken by more urgent
 /// requests; bursts end.
 const MAX_URGENT_SHARE: f64 = 0.8;
--- a/crates/routing/src/call_parents.rs
+++ b/crates/routing/src/call_parents.rs
@@ -23,8 +23,6 @@
     pub priority: Priority,
     /// Whether it is a call itself.
     pub is_call: bool,
-    /// Time by which its response meets the latency target.
-    pub target: Instant,
     /// The deadline that the upstream was given.
     pub deadline: Instant,
 }
@@ -36,17 +34,6 @@
     pub route: RouteName,
     /// Its priority.
     pub priority: Priority,
-    /// Time by which its response meets its latency target.
-    pub target: Instant,
-}
-
-impl Parent {
-    /// Returns the time by which a call should be answered: in half of the time that is
-    /// left until the order's target. The order has more work to do after the call, and
-    /// holds a slot of its upstream while it waits.
-    pub fn call_target(&self, now: Instant) -> Instant {
-        now + self.target.saturating_duration_since(now) / 2
-    }
 }
 
 /// Learns on which routes the orders are that make the calls of a route.
@@ -97,7 +84,6 @@
         (share_of(likeliest) >= MIN_SHARE).then(|| Parent {
             route: Arc::clone(&likeliest.route),
             priority: likeliest.priority,
-            target: likeliest.target,
         })
     }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -9,7 +9,7 @@
 pub mod admission;
 pub mod call_parents;
 pub mod call_pressure;
-pub mod call_rank;
+pub(crate) mod call_room;
 pub mod caller_timeouts;
 pub mod choice;
 pub mod crash_watch;
