--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -440,10 +440,13 @@
 /// Maximum number of gates that may refuse a request before its caller is refused.
 const MAX_REFUSALS: u32 = 3;
 
-/// Returns whether a request was refused for lack of room at its upstreams.
+/// Returns whether a call was refused for lack of room by a gate that knows it as one.
 fn is_turned_away(refusal: &Refusal) -> bool {
     refusal.outcome == Outcome::NotRun
-        && matches!(refusal.reason, Reason::Overloaded | Reason::CallsTurnedAway)
+        && matches!(
+            refusal.reason,
+            Reason::NoRoomForCall | Reason::CallsTurnedAway
+        )
 }
 
 fn count_retry(reason: Reason) {
--- a/crates/proxy/src/entry/plan.rs
+++ b/crates/proxy/src/entry/plan.rs
@@ -91,6 +91,7 @@
                 true => admission::NESTED_CALLS,
                 false => queue_priority(route.priority),
             },
+            order_priority: is_nested.then(|| queue_priority(route.priority)),
             parent_priority: parent
                 .as_ref()
                 .map(|parent| queue_priority(parent.priority)),
--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -453,7 +453,8 @@
         let upstream = self.check_admission(metadata).map_err(Refusal::not_run)?;
         self.check_calls(metadata)?;
         let _turn = self.take_turn(metadata).await?;
-        let permit = self.acquire_permit(metadata, &upstream).await?;
+        let competitor = self.competitor(metadata);
+        let permit = self.acquire_permit(metadata, competitor, &upstream).await?;
         // The state may have changed while the request was queued.
         let upstream = self.check_admission(metadata).map_err(Refusal::not_run)?;
         let started = self.inner.clock.now();
@@ -468,7 +469,7 @@
         };
         let addr = self.inner.local_upstream.addr();
         let mut sent = self.begin_send(metadata, &upstream);
-        let _running = self.begin_run(metadata);
+        let _running = self.begin_run(metadata, competitor);
         metrics::counter!("ibiscove_upstream_requests_total").increment(1);
         let exchange = async {
             match self.inner.pool.send(addr, req, max_idle).await {
@@ -539,6 +540,7 @@
     async fn acquire_permit(
         &self,
         metadata: &RequestMetadata,
+        competitor: calls::Competitor,
         upstream: &ObservedUpstream,
     ) -> Result<Permit<K, C>, Refusal> {
         let now = self.inner.clock.now();
@@ -546,7 +548,7 @@
         let latency = self.latency_estimate(metadata);
         let estimate = latency.mean();
         let request = AdmissionRequest {
-            priority: metadata.priority,
+            priority: competitor.priority,
             target: metadata.target_deadline,
             deadline: metadata.deadline,
             estimate,
@@ -558,7 +560,7 @@
         let decision = {
             let mut admission = self.inner.admission();
             admission.set_concurrency(upstream.announcement.concurrency as usize);
-            match metadata.parent_priority {
+            match competitor.parent {
                 Some(parent) => admission.offer_call(parent, request, waiter, now),
                 None => admission.offer(request, waiter, now),
             }
@@ -572,7 +574,8 @@
             }
             AdmissionDecision::Wait(ticket) => ticket,
             AdmissionDecision::Refuse { retry_after } => {
-                return Err(Refusal::not_run(Reason::Overloaded).with_retry_after(retry_after));
+                let refusal = Refusal::not_run(competitor.no_room());
+                return Err(refusal.with_retry_after(retry_after));
             }
         };
         self.inner.pacing_due.notify(1);
@@ -591,7 +594,7 @@
         let waited = self.inner.clock.now().saturating_duration_since(now);
         metrics::histogram!("ibiscove_queue_seconds").record(waited);
         admitted.map_err(|retry_after| {
-            Refusal::not_run(Reason::Overloaded).with_retry_after(retry_after)
+            Refusal::not_run(competitor.no_room()).with_retry_after(retry_after)
         })
     }
 
--- a/crates/proxy/src/gate/calls.rs
+++ b/crates/proxy/src/gate/calls.rs
@@ -7,6 +7,7 @@
 use ibiscove_routing::admission::{NESTED_CALLS, Priority};
 use ibiscove_routing::call_parents::{CallParents, Parent, RouteName, RunningRequest};
 use ibiscove_routing::call_pressure::CallPressure;
+use ibiscove_routing::caller_services::{CallerServices, Origin};
 use ibiscove_types::{Clock, Reason};
 use std::collections::HashMap;
 use std::sync::{Arc, MutexGuard, PoisonError};
@@ -19,6 +20,26 @@
     next_id: u64,
     parents: CallParents,
     pressure: CallPressure,
+    callers: CallerServices,
+}
+
+/// How a request competes at the gate.
+#[derive(Clone, Copy)]
+pub(super) struct Competitor {
+    /// Its priority in the queue.
+    pub(super) priority: Priority,
+    /// The priority of the order that waits for it.
+    pub(super) parent: Option<Priority>,
+}
+
+impl Competitor {
+    /// Returns the reason of a refusal for lack of room.
+    pub(super) fn no_room(self) -> Reason {
+        match self.parent {
+            Some(_) => Reason::NoRoomForCall,
+            None => Reason::Overloaded,
+        }
+    }
 }
 
 /// A request that runs at the upstream and may make calls until this is dropped.
@@ -68,24 +89,45 @@
         }
     }
 
+    /// Returns how a request competes: a supposed call whose route begins beside the
+    /// upstreams of several services is an order.
+    pub(super) fn competitor(&self, metadata: &RequestMetadata) -> Competitor {
+        let mut calls = self.inner.calls();
+        let origin = match &metadata.caller_service {
+            Some(service) => calls.callers.record(&metadata.route, service),
+            None => Origin::Unknown,
+        };
+        let priority = metadata.priority;
+        let (priority, parent) = match origin {
+            Origin::Unknown => (priority, None),
+            Origin::OneService => (priority, metadata.parent_priority),
+            Origin::SeveralServices => (metadata.order_priority.unwrap_or(priority), None),
+        };
+        Competitor { priority, parent }
+    }
+
     /// Refuses an order whose calls would probably be turned away.
     pub(super) fn check_calls(&self, metadata: &RequestMetadata) -> Result<(), Refusal> {
-        let is_call = metadata.parent_priority.is_some() || metadata.priority == NESTED_CALLS;
         let now = self.inner.clock.now();
-        if is_call || self.inner.calls().pressure.admits(&metadata.route, now) {
+        // A route without orders that make calls has no share.
+        if self.inner.calls().pressure.admits(&metadata.route, now) {
             return Ok(());
         }
         Err(Refusal::not_run(Reason::CallsTurnedAway).with_retry_after(CALLS_RETRY_AFTER))
     }
 
     /// Records that a request runs, until the guard is dropped.
-    pub(super) fn begin_run(&self, metadata: &RequestMetadata) -> Option<RunGuard<K, C>> {
-        let priority = metadata.parent_priority.unwrap_or(metadata.priority);
+    pub(super) fn begin_run(
+        &self,
+        metadata: &RequestMetadata,
+        competitor: Competitor,
+    ) -> Option<RunGuard<K, C>> {
+        let priority = competitor.parent.unwrap_or(competitor.priority);
         let request = RunningRequest {
             route: Arc::clone(&metadata.route),
             // A call without a known order says nothing of its own calls.
             priority: configured_priority(priority)?,
-            is_call: metadata.parent_priority.is_some(),
+            is_call: competitor.parent.is_some(),
             deadline: metadata.deadline,
         };
         let mut calls = self.inner.calls();
@@ -103,6 +145,7 @@
         let mut calls = self.inner.calls();
         calls.parents.retain(&has_route);
         calls.pressure.retain(&has_route);
+        calls.callers.retain(&has_route);
     }
 }
 
--- a/crates/proxy/tests/forward.rs
+++ b/crates/proxy/tests/forward.rs
@@ -14,6 +14,7 @@
         key: None,
         idempotent: true,
         priority: 0,
+        order_priority: Some(2),
         parent_priority,
         target_latency: Duration::from_millis(100),
         target_deadline: now + Duration::from_millis(100),
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod call_parents;
 pub mod call_pressure;
 pub(crate) mod call_room;
+pub mod caller_services;
 pub mod caller_timeouts;
 pub mod choice;
 pub mod crash_watch;
