--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -20,7 +20,6 @@
 use ibiscove_http::body::{BodyBudget, BodyReservation, read_within_budget};
 use ibiscove_mesh::Members;
 use ibiscove_ranges::RangeMaps;
-use ibiscove_routing::call_parents::Parent;
 use ibiscove_routing::retry::{self, FailedAttempt, RetryDecision};
 use ibiscove_types::{Clock, DataCentre, Fence, NodeName, Outcome, Reason, ServiceName};
 use plan::RequestPlan;
@@ -175,7 +174,6 @@
     pub fn prune(&self) {
         if let Some(table) = self.deps().config.get() {
             self.inner.caller_timeouts.prune(&table);
-            self.deps().gate.prune_calls(|route| table.has_route(route));
         }
         self.inner.selector.prune(&self.inner.deps.members);
         self.inner.notices.prune(&self.inner.deps.members);
@@ -236,23 +234,7 @@
         let reading = self.read_body(body, plan.max_body_bytes, plan.metadata.deadline);
         let (body, _reservation) = reading.await?;
         plan.set_body(body);
-        let parent = plan.parent.clone();
-        let result = self.serve_with_retries(plan).await;
-        if let Some(parent) = parent {
-            self.record_call(&parent, &result);
-        }
-        result
-    }
-
-    /// Tells the local gate whether there was room for a call of its upstream.
-    fn record_call<P>(&self, parent: &Parent, result: &Result<RelayedResponse<P>, Refusal>) {
-        match result {
-            Ok(_) => self.deps().gate.record_call(parent, true),
-            Err(refusal) if is_turned_away(refusal) => {
-                self.deps().gate.record_call(parent, false);
-            }
-            Err(_) => {}
-        }
+        self.serve_with_retries(plan).await
     }
 
     async fn read_body(
@@ -440,15 +422,6 @@
 /// Maximum number of gates that may refuse a request before its caller is refused.
 const MAX_REFUSALS: u32 = 3;
 
-/// Returns whether a call was refused for lack of room by a gate that knows it as one.
-fn is_turned_away(refusal: &Refusal) -> bool {
-    refusal.outcome == Outcome::NotRun
-        && matches!(
-            refusal.reason,
-            Reason::NoRoomForCall | Reason::CallsTurnedAway
-        )
-}
-
 fn count_retry(reason: Reason) {
     metrics::counter!("ibiscove_retries_total", "reason" => reason.as_str()).increment(1);
 }
--- a/crates/proxy/src/entry/plan.rs
+++ b/crates/proxy/src/entry/plan.rs
@@ -2,7 +2,7 @@
 
 use super::Entry;
 use crate::forward::RequestMetadata;
-use crate::gate::{KeyOwnership, OutboundRequest, queue_priority};
+use crate::gate::{KeyOwnership, OutboundRequest};
 use crate::headers::{self, HeaderNames};
 use crate::refusal::Refusal;
 use crate::routes::Route;
@@ -11,7 +11,6 @@
 use hyper::header::HOST;
 use hyper::http::uri::PathAndQuery;
 use ibiscove_routing::admission;
-use ibiscove_routing::call_parents::Parent;
 use ibiscove_types::{Clock, FingerprintParts, Key, Reason};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -27,9 +26,6 @@
     /// Whether it is a nested call, which an upstream makes while it runs another
     /// request.
     pub(super) is_nested: bool,
-    /// The order that waits for it, if it is a nested call that competes with requests
-    /// of other priorities.
-    pub(super) parent: Option<Parent>,
     /// Maximum body size that the configuration allows.
     pub(super) max_body_bytes: usize,
     pub(super) arrived: Instant,
@@ -73,28 +69,16 @@
         headers::remove_internode(&mut forwarded_headers);
         forwarded_headers.insert(names.request_id.clone(), headers::value(&request_id));
         let observed_timeouts = self.inner.caller_timeouts.record(&route.name, timeout);
-        let is_nested = observed_timeouts.is_nested();
-        let find_parent = || {
-            let parent = deps.gate.parent_of_call(&route.name, arrived + timeout)?;
-            // Their order matters only where requests of several priorities compete.
-            let competes = table.has_other_priority(service, route, parent.priority);
-            competes.then_some(parent)
-        };
-        let parent = is_nested.then(find_parent).flatten();
         let metadata = RequestMetadata {
             service: Arc::clone(service),
             route: Arc::clone(&route.name),
             request_id,
             key,
             idempotent: route.kind.is_idempotent(),
-            priority: match is_nested {
+            priority: match observed_timeouts.is_nested() {
                 true => admission::NESTED_CALLS,
-                false => queue_priority(route.priority),
+                false => route.priority.saturating_add(admission::NESTED_CALLS + 1),
             },
-            order_priority: is_nested.then(|| queue_priority(route.priority)),
-            parent_priority: parent
-                .as_ref()
-                .map(|parent| queue_priority(parent.priority)),
             target_latency: route.target_latency,
             target_deadline: arrived
                 + observed_timeouts.remaining_target(route.target_latency, timeout),
@@ -118,8 +102,7 @@
             outbound,
             host: host.into(),
             is_divided,
-            is_nested,
-            parent,
+            is_nested: observed_timeouts.is_nested(),
             max_body_bytes: table.limits.max_body_bytes,
             arrived,
         })
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -27,11 +27,6 @@
     pub idempotent: bool,
     /// Its priority; 0 is the most urgent.
     pub priority: Priority,
-    /// Its priority if it is an order, while the entry takes it for a call.
-    pub order_priority: Option<Priority>,
-    /// The priority of the order that waits for it, if it is a call of a known one and
-    /// competes with requests of other priorities.
-    pub parent_priority: Option<Priority>,
     /// Target latency of its route.
     pub target_latency: Duration,
     /// When its target latency has passed.
@@ -62,10 +57,6 @@
     key: Option<Key>,
     idempotent: bool,
     priority: Priority,
-    #[serde(default, rename = "order", skip_serializing_if = "Option::is_none")]
-    order_priority: Option<Priority>,
-    #[serde(default, rename = "parent", skip_serializing_if = "Option::is_none")]
-    parent_priority: Option<Priority>,
     latency_ms: u64,
     target_ms: u64,
     left_ms: u64,
@@ -95,8 +86,6 @@
             key: self.key,
             idempotent: self.idempotent,
             priority: self.priority,
-            order_priority: self.order_priority,
-            parent_priority: self.parent_priority,
             latency_ms: u64::try_from(self.target_latency.as_millis()).unwrap_or(u64::MAX),
             target_ms: remaining_ms(self.target_deadline),
             left_ms: remaining_ms(self.deadline),
@@ -121,8 +110,6 @@
             key: fields.key,
             idempotent: fields.idempotent,
             priority: fields.priority,
-            order_priority: fields.order_priority,
-            parent_priority: fields.parent_priority,
             target_latency: Duration::from_millis(fields.latency_ms),
             target_deadline: now + Duration::from_millis(fields.target_ms),
             deadline: now + Duration::from_millis(fields.left_ms),
--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -4,12 +4,10 @@
 //! or refuses the excess, and checks that each response belongs to its request.
 //! A request fails as `not-run` only if the upstream certainly did not run it.
 
-mod calls;
 mod crashes;
 mod exchange;
 mod load;
 
-pub use calls::queue_priority;
 pub use crashes::CLOSE_DELAY;
 pub use load::GateLoad;
 
@@ -154,7 +152,6 @@
     key_ownership: OnceLock<K>,
     admission: Mutex<AdmissionController<Waiter<K, C>>>,
     latencies: Mutex<Latencies>,
-    calls: Mutex<calls::Calls>,
     hang_detector: Mutex<HangDetector>,
     crash_watch: Mutex<CrashWatch<Option<suspects::SentCopy>>>,
     /// Notified when a queued request may have to wait for the upstream's limit.
@@ -330,7 +327,6 @@
                 key_ownership: OnceLock::new(),
                 admission: Mutex::new(AdmissionController::new(1)),
                 latencies: Mutex::default(),
-                calls: Mutex::default(),
                 hang_detector: Mutex::default(),
                 crash_watch: Mutex::default(),
                 pacing_due: Event::new(),
@@ -451,10 +447,8 @@
             self.adopt_report(report);
         }
         let upstream = self.check_admission(metadata).map_err(Refusal::not_run)?;
-        self.check_calls(metadata)?;
         let _turn = self.take_turn(metadata).await?;
-        let competitor = self.competitor(metadata);
-        let permit = self.acquire_permit(metadata, competitor, &upstream).await?;
+        let permit = self.acquire_permit(metadata, &upstream).await?;
         // The state may have changed while the request was queued.
         let upstream = self.check_admission(metadata).map_err(Refusal::not_run)?;
         let started = self.inner.clock.now();
@@ -469,7 +463,6 @@
         };
         let addr = self.inner.local_upstream.addr();
         let mut sent = self.begin_send(metadata, &upstream);
-        let _running = self.begin_run(metadata, competitor);
         metrics::counter!("ibiscove_upstream_requests_total").increment(1);
         let exchange = async {
             match self.inner.pool.send(addr, req, max_idle).await {
@@ -540,7 +533,6 @@
     async fn acquire_permit(
         &self,
         metadata: &RequestMetadata,
-        competitor: calls::Competitor,
         upstream: &ObservedUpstream,
     ) -> Result<Permit<K, C>, Refusal> {
         let now = self.inner.clock.now();
@@ -548,7 +540,7 @@
         let latency = self.latency_estimate(metadata);
         let estimate = latency.mean();
         let request = AdmissionRequest {
-            priority: competitor.priority,
+            priority: metadata.priority,
             target: metadata.target_deadline,
             deadline: metadata.deadline,
             estimate,
@@ -560,10 +552,7 @@
         let decision = {
             let mut admission = self.inner.admission();
             admission.set_concurrency(upstream.announcement.concurrency as usize);
-            match competitor.parent {
-                Some(parent) => admission.offer_call(parent, request, waiter, now),
-                None => admission.offer(request, waiter, now),
-            }
+            admission.offer(request, waiter, now)
         };
         let ticket = match decision {
             AdmissionDecision::Run => {
@@ -574,8 +563,7 @@
             }
             AdmissionDecision::Wait(ticket) => ticket,
             AdmissionDecision::Refuse { retry_after } => {
-                let refusal = Refusal::not_run(competitor.no_room());
-                return Err(refusal.with_retry_after(retry_after));
+                return Err(Refusal::not_run(Reason::Overloaded).with_retry_after(retry_after));
             }
         };
         self.inner.pacing_due.notify(1);
@@ -594,7 +582,7 @@
         let waited = self.inner.clock.now().saturating_duration_since(now);
         metrics::histogram!("ibiscove_queue_seconds").record(waited);
         admitted.map_err(|retry_after| {
-            Refusal::not_run(competitor.no_room()).with_retry_after(retry_after)
+            Refusal::not_run(Reason::Overloaded).with_retry_after(retry_after)
         })
     }
 
--- a/crates/proxy/src/routes.rs
+++ b/crates/proxy/src/routes.rs
@@ -4,7 +4,7 @@
 use event_listener::{Event, EventListener};
 use ibiscove_routing::admission::Priority;
 use ibiscove_types::ServiceName;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -59,12 +59,6 @@
 }
 
 impl Route {
-    /// Returns the services that serve its requests.
-    fn services(&self) -> impl Iterator<Item = &ServiceName> {
-        let shares = self.shares.iter().filter(|share| share.weight > 0);
-        shares.map(|share| &share.service)
-    }
-
     /// Picks the service for a request by weight and a random number.
     pub fn pick_service(&self, random: u64) -> Option<&ServiceName> {
         let total: u64 = self
@@ -122,8 +116,6 @@
     pub limits: CallerLimits,
     /// Routes by host, longest prefix first.
     by_host: HashMap<String, Vec<Arc<Route>>>,
-    /// Number of routes by service and priority.
-    priorities: HashMap<ServiceName, BTreeMap<Priority, usize>>,
 }
 
 /// Why a configuration is invalid.
@@ -170,13 +162,8 @@
         limits: CallerLimits,
     ) -> Result<Self, RouteError> {
         let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
-        let mut priorities: HashMap<ServiceName, BTreeMap<Priority, usize>> = HashMap::new();
         for route in routes {
             validate(&route, &services)?;
-            for service in route.services() {
-                let counts = priorities.entry(Arc::clone(service)).or_default();
-                *counts.entry(route.priority).or_default() += 1;
-            }
             by_host
                 .entry(route.host.clone())
                 .or_default()
@@ -190,7 +177,6 @@
             services,
             limits,
             by_host,
-            priorities,
         })
     }
 
@@ -213,17 +199,6 @@
             .any(|route| &*route.name == name)
     }
 
-    /// Returns whether a service also serves routes, other than `route`, of another
-    /// priority than `priority`.
-    pub fn has_other_priority(&self, service: &str, route: &Route, priority: Priority) -> bool {
-        let is_served = route.services().any(|own| **own == *service);
-        let mut counts = self.priorities.get(service).into_iter().flatten();
-        counts.any(|(other, count)| {
-            let own = usize::from(is_served && *other == route.priority);
-            *other != priority && *count > own
-        })
-    }
-
     /// Returns whether each key of a service has one owner.
     pub fn is_divided(&self, service: &str) -> bool {
         self.services
--- a/crates/proxy/tests/routes.rs
+++ b/crates/proxy/tests/routes.rs
@@ -101,20 +101,3 @@
     assert_eq!(cell.version(), 3);
     assert!(apply(7));
 }
-
-/// What a call is worth matters only where requests of several priorities compete.
-#[parameterized(
-    with_another_priority = { 2, true },
-    with_the_same_priority = { 0, false },
-)]
-fn other_priorities_of_a_service_are_known(parent: u8, expected: bool) {
-    let mut call = route("call", "a.example", "/call/");
-    call.priority = 7;
-    let mut urgent = route("urgent", "a.example", "/urgent/");
-    urgent.priority = 0;
-    let mut elsewhere = route("elsewhere", "a.example", "/elsewhere/");
-    elsewhere.shares = vec![share("calendar", 1)];
-    let table = table(1, vec![call.clone(), urgent, elsewhere]).expect("the routes are valid");
-    assert_eq!(table.has_other_priority("gallery", &call, parent), expected);
-    assert!(!table.has_other_priority("unknown", &call, parent));
-}
--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -8,7 +8,6 @@
 //! is ordered by priority, then requests that can still meet their latency
 //! target before late requests, which cannot, then by earliest target.
 
-use crate::call_room::{CallRoom, WorkRate};
 use crate::pacing::Pacer;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -97,8 +96,25 @@
     late_run_share: BTreeMap<Priority, f64>,
     /// Work that arrives, by priority.
     arrivals: BTreeMap<Priority, WorkRate>,
-    /// Calls of known orders that were admitted.
-    call_room: CallRoom,
+}
+
+/// Exponentially decaying rate of work, in slots.
+#[derive(Clone, Copy, Debug)]
+struct WorkRate {
+    slots: f64,
+    updated: Instant,
+}
+
+impl WorkRate {
+    fn at(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.updated);
+        self.slots * (-age.div_duration_f64(ARRIVAL_WINDOW)).exp()
+    }
+
+    fn add(&mut self, work: Duration, now: Instant) {
+        self.slots = self.at(now) + work.div_duration_f64(ARRIVAL_WINDOW);
+        self.updated = now;
+    }
 }
 
 impl<T> AdmissionController<T> {
@@ -116,7 +132,6 @@
             mean_estimate: None,
             late_run_share: BTreeMap::new(),
             arrivals: BTreeMap::new(),
-            call_room: CallRoom::default(),
         }
     }
 
@@ -218,38 +233,6 @@
         AdmissionDecision::Wait(ticket)
     }
 
-    /// Decides on a nested call whose order has the priority `parent`. It is queued
-    /// like all calls, while calls of such orders have not taken the room that more
-    /// urgent orders leave.
-    pub fn offer_call(
-        &mut self,
-        parent: Priority,
-        req: AdmissionRequest,
-        item: impl FnOnce() -> T,
-        now: Instant,
-    ) -> AdmissionDecision {
-        let is_contended = self.running >= self.concurrency || !self.waiting.is_empty();
-        if is_contended {
-            let more_urgent = self.arrivals.range(..parent);
-            let orders = more_urgent.filter(|(priority, _)| **priority != NESTED_CALLS);
-            let urgent: f64 = orders.map(|(_, rate)| rate.at(now)).sum();
-            let capacity = self.capacity();
-            if self
-                .call_room
-                .is_taken(parent, urgent / capacity, capacity, now)
-            {
-                return AdmissionDecision::Refuse {
-                    retry_after: self.drain_time(),
-                };
-            }
-        }
-        let decision = self.offer(req, item, now);
-        if !matches!(decision, AdmissionDecision::Refuse { .. }) {
-            self.call_room.record(parent, req.estimate, now);
-        }
-        decision
-    }
-
     /// Removes a queued request that its caller abandoned.
     pub fn cancel(&mut self, ticket: &Ticket) -> Option<T> {
         let late_ticket = Ticket {
@@ -362,8 +345,11 @@
     }
 
     fn record_arrival(&mut self, req: &AdmissionRequest, now: Instant) {
-        let rate = self.arrivals.entry(req.priority);
-        let rate = rate.or_insert(WorkRate::new(now));
+        let none = WorkRate {
+            slots: 0.0,
+            updated: now,
+        };
+        let rate = self.arrivals.entry(req.priority).or_insert(none);
         rate.add(req.estimate, now);
         let estimate = req.estimate.as_secs_f64();
         let mean = self.mean_estimate.get_or_insert(estimate);
@@ -507,6 +493,9 @@
 const ESTIMATE_SAMPLE_WEIGHT: f64 = 0.05;
 /// Least capacity, in slots, at a limit or an estimate close to 0.
 const MIN_CAPACITY: f64 = 0.01;
+/// Time over which the rate of arrivals is averaged: several service times, and
+/// less than the time that callers commonly have.
+const ARRIVAL_WINDOW: Duration = Duration::from_millis(500);
 /// Largest share of the slots that nested calls take while other requests wait.
 const MAX_NESTED_SHARE: f64 = 0.5;
 /// Upper limit of the share of the slots that counts as taken by more urgent
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -7,10 +7,6 @@
 //! them. `docs/requests.md` lists the alternatives considered for each decision.
 
 pub mod admission;
-pub mod call_parents;
-pub mod call_pressure;
-pub(crate) mod call_room;
-pub mod caller_services;
 pub mod caller_timeouts;
 pub mod choice;
 pub mod crash_watch;
--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -63,11 +63,7 @@
     if !may_retry {
         return RetryDecision::Stop;
     }
-    let has_no_room = matches!(
-        failure.reason,
-        Reason::Overloaded | Reason::NoRoomForCall | Reason::CallsTurnedAway
-    );
-    if has_no_room && failure.has_alternative {
+    if failure.reason == Reason::Overloaded && failure.has_alternative {
         // The gate refused before the upstream received anything, and another
         // upstream may have free capacity.
         return RetryDecision::Retry {
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -94,10 +94,6 @@
     Draining => "draining", 503;
     /// The queue is full, or the deadline would pass while queued.
     Overloaded => "overloaded", 429;
-    /// Orders leave no more room for such calls, or the queue is full.
-    NoRoomForCall => "no-room-for-call", 503;
-    /// Calls that such requests make find no room at the services that they call.
-    CallsTurnedAway => "calls-turned-away", 503;
     /// The deadline passed.
     DeadlineExceeded => "deadline-exceeded", 504;
     /// The owner's node could not be reached.
