Gates expect service times by how long work takes on the machine now

Cause: upstreams share their machines, on which work takes several times as long for a few hundred milliseconds. The fourth figure of the load that answers may state was not read; averages of latency see a slow phase when it is over.

Change: the gate keeps the last figure, which fades within 500 ms, and scales by it the service time that it reports to entries and the estimate of its admission. Odd loads are counted, logged and ignored. Nothing changes where no answer has the fourth figure.

--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -31,6 +31,7 @@
 use ibiscove_routing::crash_watch::{CrashWatch, SendId};
 use ibiscove_routing::hang_detector::HangDetector;
 use ibiscove_routing::latency_estimate::LatencyEstimate;
+use ibiscove_routing::speed::SpeedEstimate;
 use ibiscove_store::Table;
 use ibiscove_types::{BootClock, Clock, Key, Outcome, Reason, UpstreamIncarnation};
 use smol::channel::{Receiver, Sender};
@@ -167,6 +168,8 @@
     by_route: HashMap<Arc<str>, LatencyEstimate>,
     /// Moving average of all routes together.
     overall_seconds: Option<f64>,
+    /// How much longer than that work takes now.
+    speed: SpeedEstimate,
 }
 
 /// Item of the admission queue. Its channel delivers the permit of the request,
@@ -389,11 +392,12 @@
             true => load.max(2 * announced as usize),
             false => load,
         };
-        let average = self
-            .inner
-            .latencies()
-            .overall_seconds
-            .unwrap_or(DEFAULT_LATENCY.as_secs_f64());
+        let average = {
+            let latencies = self.inner.latencies();
+            let average = latencies.overall_seconds;
+            average.unwrap_or(DEFAULT_LATENCY.as_secs_f64())
+                * latencies.speed.scale(self.inner.clock.now())
+        };
         GateLoad {
             load: u32::try_from(load).unwrap_or(u32::MAX),
             service_time: Duration::from_secs_f64(average),
@@ -593,13 +597,11 @@
     }
 
     fn latency_estimate(&self, metadata: &RequestMetadata) -> LatencyEstimate {
-        let recorded = self
-            .inner
-            .latencies()
-            .by_route
-            .get(&metadata.route)
-            .copied();
-        recorded.unwrap_or(LatencyEstimate::with_initial(initial_estimate(metadata)))
+        let latencies = self.inner.latencies();
+        let recorded = latencies.by_route.get(&metadata.route).copied();
+        let estimate =
+            recorded.unwrap_or(LatencyEstimate::with_initial(initial_estimate(metadata)));
+        estimate.scaled(latencies.speed.scale(self.inner.clock.now()))
     }
 
     fn record_latency(&self, metadata: &RequestMetadata, elapsed: Duration) {
--- a/crates/proxy/src/gate/exchange.rs
+++ b/crates/proxy/src/gate/exchange.rs
@@ -10,6 +10,7 @@
 use crate::upstream_notice::UpstreamNotice;
 use hyper::{HeaderMap, StatusCode};
 use ibiscove_http::{Exchange, SendError};
+use ibiscove_routing::speed::{MalformedLoad, parse_factor};
 use ibiscove_types::{Clock, Reason};
 use std::time::{Duration, Instant};
 
@@ -55,6 +56,7 @@
         {
             return;
         }
+        self.record_speed(from);
         let local_upstream = &self.inner.local_upstream;
         let notice = UpstreamNotice::read(from, names);
         let now = self.inner.clock.now();
@@ -69,6 +71,29 @@
         }
     }
 
+    /// Records how long work takes on the upstream's machine, if an answer states it.
+    fn record_speed(&self, from: &HeaderMap) {
+        let Some(stated) = from.get(&self.inner.names.stated_load) else {
+            return;
+        };
+        match stated
+            .to_str()
+            .map_err(|_| MalformedLoad)
+            .and_then(parse_factor)
+        {
+            Ok(Some(factor)) => {
+                let now = self.inner.clock.now();
+                self.inner.latencies().speed.record(factor, now);
+                metrics::gauge!("ibiscove_upstream_work_factor").set(factor);
+            }
+            Ok(None) => {}
+            Err(err) => {
+                metrics::counter!("ibiscove_upstream_loads_malformed_total").increment(1);
+                log::info!("an answer of the upstream states a load that is ignored: {err}");
+            }
+        }
+    }
+
     /// Checks that a response belongs to this request and is the upstream's own.
     pub(super) async fn verify_response(
         &self,
--- a/crates/proxy/src/headers.rs
+++ b/crates/proxy/src/headers.rs
@@ -45,6 +45,9 @@
     pub max_rate: HeaderName,
     /// From the upstream: `1` if it is leaving.
     pub leaving: HeaderName,
+    /// From the upstream: its load, and how long work takes on its machine at the moment,
+    /// see [`ibiscove_routing::speed`].
+    pub stated_load: HeaderName,
 }
 
 impl Default for HeaderNames {
@@ -59,6 +62,7 @@
             proof: None,
             max_rate: HeaderName::from_static("ibiscove-max-rate"),
             leaving: HeaderName::from_static("ibiscove-leaving"),
+            stated_load: HeaderName::from_static("ibiscove-upstream-load"),
         }
     }
 }
--- a/crates/router/tests/upstream_notices.rs
+++ b/crates/router/tests/upstream_notices.rs
@@ -4,10 +4,11 @@
 
 use hyper::header::{HeaderName, HeaderValue};
 use ibiscove_http::{Pool, PoolSettings};
+use ibiscove_proxy::gate::GateLoad;
 use ibiscove_store::MemoryPlatform;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
-use support::{CountingUpstream, send_request, start_node, wait_until_served};
+use support::{CountingUpstream, addr, send_request, start_node, wait_until_served};
 
 fn set_notice(upstream: &CountingUpstream, name: &'static str, value: &'static str) {
     let (name, value) = (
@@ -78,3 +79,43 @@
         assert_eq!(signs.runs.load(Ordering::SeqCst), before);
     });
 }
+
+/// Returns the service time that a gate reports to other nodes, in microseconds.
+async fn reported_service_us(pool: &Pool, node: u8) -> u64 {
+    let req = hyper::Request::new(ibiscove_http::Body::whole(""));
+    let sent = pool.send(addr(node, 7_401), req, Duration::from_secs(1));
+    let exchange = sent.await.expect("the gate answers");
+    let load = exchange.response.headers()["ibiscove-gate-load"].to_str();
+    let load = GateLoad::from_header(load.expect("a text")).expect("a valid load");
+    u64::try_from(load.service_time.as_micros()).expect("a short time")
+}
+
+/// Guards against a gate that does not tell entries that its machine is slow right now.
+#[test]
+fn gate_reports_longer_service_times_while_its_machine_is_slow() {
+    const STATED_LOAD: &str = "ibiscove-upstream-load";
+    smol::block_on(async {
+        let table = MemoryPlatform::default();
+        let (gallery, signs, at_gallery) = start_node(17, "gallery", &table).await;
+        let pool = Pool::new(PoolSettings::default());
+        assert!(gallery.apply_config("7".into()));
+        wait_until_served(&pool, at_gallery, "/signs/1").await;
+        set_notice(&signs, STATED_LOAD, "1,0,4,100");
+        for _ in 0..20 {
+            assert_eq!(send_request(&pool, at_gallery, "/signs/1").await.0, 200);
+        }
+        // What cannot be read changes nothing.
+        set_notice(&signs, STATED_LOAD, "1,0,4,-900");
+        assert_eq!(send_request(&pool, at_gallery, "/signs/1").await.0, 200);
+        let usual_us = reported_service_us(&pool, 17).await;
+        set_notice(&signs, STATED_LOAD, "1,0,4,1000");
+        // The figure fades; on a busy machine it may have when it is asked for.
+        for _ in 0..10 {
+            assert_eq!(send_request(&pool, at_gallery, "/signs/1").await.0, 200);
+            if reported_service_us(&pool, 17).await > 3 * usual_us {
+                return;
+            }
+        }
+        panic!("the gate reports {usual_us} us as before");
+    });
+}
--- a/crates/routing/src/latency_estimate.rs
+++ b/crates/routing/src/latency_estimate.rs
@@ -36,6 +36,15 @@
         self.deviation_s += (error.abs() - self.deviation_s) * SAMPLE_WEIGHT;
     }
 
+    /// Returns the estimate for an upstream on which work takes `factor` times as long.
+    #[must_use]
+    pub fn scaled(self, factor: f64) -> Self {
+        Self {
+            mean_s: self.mean_s * factor,
+            deviation_s: self.deviation_s * factor,
+        }
+    }
+
     /// Returns the mean.
     pub fn mean(&self) -> Duration {
         Duration::from_secs_f64(self.mean_s.max(0.0))
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -28,4 +28,5 @@
 pub mod refusals;
 pub mod retry;
 pub mod sketch;
+pub mod speed;
 pub mod unserved;
