Add a review case: slow readers lose the answers of requests that were run

Clients on kept connections send requests and begin to read 5 s later, within their deadline of 15 s. The node's TCP_USER_TIMEOUT of 2.5 s resets the connections, although the clients acknowledge all window probes.

--- a/review/lab-2/cluster.rs
+++ b/review/lab-2/cluster.rs
@@ -33,6 +33,8 @@
     pub config: &'a str,
     /// How long a request takes.
     pub work: Duration,
+    /// Least length of an answer's body.
+    pub answer_bytes: usize,
 }
 
 impl Cluster {
@@ -69,6 +71,7 @@
                 control: machine.control(),
                 sharded: settings.sharded.contains(service),
                 work: settings.work,
+                answer_bytes: settings.answer_bytes,
             };
             cluster.endpoints.push(Endpoint::start(endpoint, record.clone()));
         }
--- a/review/lab-2/endpoint.rs
+++ b/review/lab-2/endpoint.rs
@@ -30,6 +30,8 @@
     pub sharded: bool,
     /// How long a request takes.
     pub work: Duration,
+    /// Least length of an answer's body.
+    pub answer_bytes: usize,
 }
 
 /// Keys that the endpoint holds or has held.
@@ -286,7 +288,7 @@
         if is_leaving {
             headers.push(("Server-Leaving", "1"));
         }
-        let body = format!("answer to {id}");
+        let body = format!("answer to {0:.<1$}", id, self.settings.answer_bytes);
         http::format("HTTP/1.1 200 OK", &headers, body.as_bytes())
     }
 }
--- a/review/lab-2/main.rs
+++ b/review/lab-2/main.rs
@@ -10,6 +10,7 @@
 mod json;
 mod node;
 mod record;
+mod slow;
 mod store;
 mod withdrawn;
 
@@ -30,6 +31,7 @@
     };
     let is_disrupted = std::env::var("TROUBLE").as_deref() != Ok("0");
     let verdict = match &**course {
+        "slow" => slow::play(record, is_disrupted),
         "withdrawn" => withdrawn::play(record, is_disrupted),
         _ => Verdict::NotRun(format!("no course is named {course}")),
     };
--- a/review/lab-2/withdrawn.rs
+++ b/review/lab-2/withdrawn.rs
@@ -35,6 +35,7 @@
         sharded: &[],
         config: CONFIG,
         work: Duration::from_millis(78),
+        answer_bytes: 0,
     };
     let cluster = match Cluster::start(&settings, &record) {
         Ok(cluster) => cluster,
