Add a review case: keys of an endpoint that still ends go to others

An endpoint of a divided service leaves while the store is away. It stops serving and its process ends 1.6 s later. Its node takes the refused connection for the end of the process and gives its keys away, although its holds run.

--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,7 @@
+#!/bin/sh
+# Plays the case; see claim.txt. Exits with 1 if the rule was broken, 0 if it held and 2 if
+# the case could not run. TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")/../.." || exit 2
+ROOT=$(pwd)
+export ROOT
+exec target/review-2/lab leaving review/8/record.txt
--- a/review/lab-2/endpoint.rs
+++ b/review/lab-2/endpoint.rs
@@ -80,12 +80,7 @@
         };
         endpoint.state.lock().unwrap().is_announcing = true;
         let own = endpoint.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let own = own.clone();
-                thread::spawn(move || own.serve(stream));
-            }
-        });
+        thread::spawn(move || own.accept(&listener));
         let own = endpoint.clone();
         thread::spawn(move || {
             loop {
@@ -138,13 +133,14 @@
         self.call_node(&http::format(&start, &[("Host", &host)], b""))
     }
 
-    /// Stops announcing itself without a word.
-    pub fn fall_silent(&self) {
-        self.state.lock().unwrap().is_announcing = false;
+    /// Reports that it is leaving from its next announcement on.
+    pub fn drain(&self) {
+        self.state.lock().unwrap().is_draining = true;
     }
 
-    /// Ends: connections are reset and new ones are not served.
-    pub fn end(&self) {
+    /// Stops announcing itself and accepting connections, and closes those that it has,
+    /// on none of which a request is at work. Its process goes on, with its holds.
+    pub fn stop_serving(&self) {
         let mut state = self.state.lock().unwrap();
         state.is_announcing = false;
         state.is_down = true;
@@ -153,6 +149,32 @@
         }
     }
 
+    /// Stops announcing itself without a word.
+    pub fn fall_silent(&self) {
+        self.state.lock().unwrap().is_announcing = false;
+    }
+
+    /// Ends with all that it holds.
+    pub fn end(&self) {
+        self.stop_serving();
+        self.record.ended(&self.settings.id);
+    }
+
+    /// Accepts connections until it stops serving, which closes the listener.
+    fn accept(&self, listener: &TcpListener) {
+        listener.set_nonblocking(true).expect("the listener can be polled");
+        while !self.state.lock().unwrap().is_down {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    stream.set_nonblocking(false).ok();
+                    let own = self.clone();
+                    thread::spawn(move || own.serve(stream));
+                }
+                Err(_) => thread::sleep(Duration::from_millis(2)),
+            }
+        }
+    }
+
     fn serve(&self, stream: TcpStream) {
         stream.set_nodelay(true).ok();
         let Ok(mut to) = stream.try_clone() else {
@@ -202,25 +224,23 @@
         if state.holds.iter().any(|hold| overlaps(hold) && hold.fence > fence) {
             return http::format("HTTP/1.1 409 Conflict", &[], b"");
         }
+        let hold = Duration::from_secs_f64(call.number("hold-s"));
         state.cut_out(from, target);
         state.holds.push(Hold {
             from,
             target,
             fence,
-            until: Instant::now() + Duration::from_secs_f64(call.number("hold-s")),
+            until: Instant::now() + hold,
         });
         drop(state);
-        let id = &self.settings.id;
-        let hold_s = call.number("hold-s");
-        self.record.line(&format!(
-            "endpoint {id} is granted keys {from} to {target} fence {fence} for {hold_s:.2} s"
-        ));
+        self.record.granted(&self.settings.id, (from, target), fence, hold);
         http::format("HTTP/1.1 200 OK", &[], b"")
     }
 
     fn release(&self, body: &str) -> Vec<u8> {
         let call = Json::parse(body).unwrap_or(Json::Null);
         let (from, target) = (call.number("from") as u16, call.number("target") as u16);
+        self.record.released(&self.settings.id, (from, target));
         let mut state = self.state.lock().unwrap();
         state.cut_out(from, target);
         // The fence is remembered.
@@ -234,9 +254,6 @@
             state = self.work_ended.wait(state).unwrap();
         }
         drop(state);
-        let id = &self.settings.id;
-        self.record
-            .line(&format!("endpoint {id} has released keys {from} to {target}"));
         let handover = [("Ibiscove-Handover", "5c0e7a21d94b36f8")];
         http::format("HTTP/1.1 200 OK", &handover, b"")
     }
--- a/review/lab-2/main.rs
+++ b/review/lab-2/main.rs
@@ -8,6 +8,7 @@
 mod endpoint;
 mod http;
 mod json;
+mod leaving;
 mod node;
 mod record;
 mod slow;
@@ -31,6 +32,7 @@
     };
     let is_disrupted = std::env::var("TROUBLE").as_deref() != Ok("0");
     let verdict = match &**course {
+        "leaving" => leaving::play(record, is_disrupted),
         "slow" => slow::play(record, is_disrupted),
         "withdrawn" => withdrawn::play(record, is_disrupted),
         _ => Verdict::NotRun(format!("no course is named {course}")),
