--- a/review/lab-3/cases.rs
+++ b/review/lab-3/cases.rs
@@ -209,7 +209,9 @@
     let held = sys::queued_bytes(&probe.reader.stream)?;
     drop(probe);
     if held == 0 {
-        return Err(io::Error::other("the connection is not in the table of sockets"));
+        return Err(io::Error::other(
+            "the connection is not in the table of sockets",
+        ));
     }
     world
         .record
