--- a/review/lab-3/main.rs
+++ b/review/lab-3/main.rs
@@ -21,6 +21,7 @@
     };
     let is_troubled = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let temp = std::env::temp_dir().join(format!("review-lab-3-{}", std::process::id()));
+    let ends_processes = world::EndsProcesses;
     let result = std::fs::create_dir_all(&temp).and_then(|()| {
         cases::run(
             case,
@@ -30,6 +31,7 @@
             is_troubled,
         )
     });
+    drop(ends_processes);
     if std::env::var_os("KEEP").is_none() {
         let _ = std::fs::remove_dir_all(&temp);
     } else {
--- a/review/lab-3/world.rs
+++ b/review/lab-3/world.rs
@@ -10,7 +10,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::AtomicUsize;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 pub const HOST: &str = "desk.example";
@@ -138,7 +138,29 @@
     settings: PathBuf,
     log: PathBuf,
     binary: PathBuf,
-    child: Mutex<Option<Child>>,
+    child: SharedChild,
+}
+
+type SharedChild = Arc<Mutex<Option<Child>>>;
+
+/// All processes that were started.
+static CHILDREN: Mutex<Vec<SharedChild>> = Mutex::new(Vec::new());
+
+/// Ends all processes that were started when it is dropped, also after a panic and while
+/// threads still use the deployment.
+pub struct EndsProcesses;
+
+impl Drop for EndsProcesses {
+    fn drop(&mut self) {
+        let children = CHILDREN.lock().unwrap_or_else(PoisonError::into_inner);
+        for child in children.iter() {
+            let child = child.lock().unwrap_or_else(PoisonError::into_inner).take();
+            if let Some(mut child) = child {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        }
+    }
 }
 
 impl Node {
@@ -153,6 +175,7 @@
             .stderr(log)
             .spawn()?;
         *self.child.lock().unwrap() = Some(child);
+        CHILDREN.lock().unwrap().push(Arc::clone(&self.child));
         Ok(())
     }
 
@@ -177,16 +200,7 @@
     }
 }
 
-impl Drop for Node {
-    fn drop(&mut self) {
-        if let Some(mut child) = self.child.lock().unwrap().take() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
-}
-
-/// All of it. Dropping it ends the processes.
+/// All of it.
 pub struct World {
     pub record: Arc<Record>,
     _store: Store,
@@ -253,7 +267,7 @@
             settings,
             log: temp.join(format!("{name}.log")),
             binary: binary.to_owned(),
-            child: Mutex::new(None),
+            child: Arc::default(),
         };
         node.start()?;
         world.nodes.push(node);
