--- a/review/lab-3/src/cases.rs
+++ b/review/lab-3/src/cases.rs
@@ -28,15 +28,32 @@
         "pausing-reader" => {
             pausing_reader(start(12.0, answer_by_path)?)
         }
-        "stalled-answer" => stalled_answer(start(5.0, |endpoint, req, out| {
-            if !endpoint.is_troubled || req.target().1 == "/read/100" {
+        "endless-answer" => endless_answer(start(5.0, |endpoint, req, out| {
+            let is_faulty = endpoint.is_troubled && endpoint.id == "i-1";
+            if !is_faulty || req.target().1 == "/read/100" {
                 return answer_by_path(endpoint, req, out);
             }
-            let mut whole = Vec::new();
-            answer_with(req, &mut whole, LONG_ANSWER)?;
-            // The answer is truncated; the connection stays open.
-            out.write_all(&whole[..whole.len() - 50_000])
+            answer_without_end(req, out)
         })?),
+        "interim-answers" => interim_answers(start_with(
+            ["front", "desk", "desk"],
+            5.0,
+            |endpoint, req, out| {
+                let (_, path) = req.target();
+                if path.contains("/work/") {
+                    thread::sleep(Duration::from_secs(1));
+                }
+                let is_faulty = endpoint.is_troubled && endpoint.id == "i-1";
+                if !is_faulty || !path.contains("/spoilt/") {
+                    return answer_by_path(endpoint, req, out);
+                }
+                endpoint.record.line("endpoint i-1 sends interim answers without end");
+                let many = "HTTP/1.1 102 Processing\r\n\r\n".repeat(4096);
+                loop {
+                    out.write_all(many.as_bytes())?;
+                }
+            },
+        )?),
         "late-heartbeat" => late_heartbeat(start_with(
             ["front", "desk", "desk"],
             5.0,
@@ -45,23 +62,13 @@
                 answer_by_path(endpoint, req, out)
             },
         )?),
-        "hold" => {
-            let world = start(12.0, |endpoint, req, out| {
-                endpoint.record.line(&format!("{req:?}"));
-                if req.target().1.starts_with("/read/c400") { return out.write_all(b"HTTP/1.1 200 OK\r\n"); }
-                answer_by_path(endpoint, req, out)
-            })?;
-            println!("{}", world.nodes[0].outbound);
-            thread::sleep(Duration::from_secs(90));
-            Ok(false)
-        }
         _ => Err(io::Error::other("no such case")),
     }
 }
 
 /// Bytes of an answer: the largest of the deployments.
 const ANSWER: usize = 30_000;
-/// Bytes of a long answer.
+/// Bytes of an answer that ends, where the others do not.
 const LONG_ANSWER: usize = 400_000;
 /// Requests that a client sends before the first one is answered.
 const PIPELINED: usize = 16;
@@ -81,6 +88,21 @@
     answer_with(req, out, len.parse().unwrap_or(0))
 }
 
+/// Answers with a body that goes on until the caller closes the connection.
+fn answer_without_end(req: &Message, out: &mut TcpStream) -> io::Result<()> {
+    let id = req.header("ibiscove-request-id").unwrap_or("");
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nIbiscove-Request-Id: {id}\r\nIbiscove-Response-Seal: seal.{id}\r\n\
+         Transfer-Encoding: chunked\r\n\r\n"
+    );
+    out.write_all(head.as_bytes())?;
+    let chunk = format!("4000\r\n{}\r\n", "x".repeat(0x4000));
+    loop {
+        out.write_all(chunk.as_bytes())?;
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
 struct Client {
     name: String,
     ids: Vec<String>,
@@ -90,8 +112,8 @@
 
 impl Client {
     /// Connects and has one read answered, so that the connection is a kept one.
-    fn connect(world: &World, name: &str) -> io::Result<Self> {
-        let SocketAddr::V4(addr) = world.nodes[0].outbound else {
+    fn connect(world: &World, node: usize, name: &str) -> io::Result<Self> {
+        let SocketAddr::V4(addr) = world.nodes[node].outbound else {
             return Err(io::ErrorKind::Unsupported.into());
         };
         let stream = sys::connect_with_window(addr, 8 << 10)?;
@@ -181,7 +203,7 @@
     let world = Arc::new(world);
     let is_troubled = world.endpoints[0].is_troubled;
     // How much the operating system holds for a client that does not read.
-    let mut probe = Client::connect(&world, "probe")?;
+    let mut probe = Client::connect(&world, 0, "probe")?;
     probe.send_reads(&world, 60, ANSWER)?;
     thread::sleep(Duration::from_millis(700));
     let held = sys::queued_bytes(&probe.reader.stream)?;
@@ -195,7 +217,7 @@
     ));
     let mut clients = Vec::new();
     for i in 0..4 {
-        clients.push(Client::connect(&world, &format!("c{i}"))?);
+        clients.push(Client::connect(&world, 0, &format!("c{i}"))?);
     }
     let at = Instant::now();
     if is_troubled {
@@ -238,7 +260,7 @@
     };
     let mut readers = Vec::new();
     for i in 0..4 {
-        let mut client = Client::connect(&world, &format!("c{i}"))?;
+        let mut client = Client::connect(&world, 0, &format!("c{i}"))?;
         client.send_reads(&world, PIPELINED, ANSWER)?;
         let world = Arc::clone(&world);
         readers.push(thread::spawn(move || {
@@ -256,60 +278,39 @@
     Ok(ran > 3)
 }
 
-/// Endpoints truncate long answers.
-fn stalled_answer(world: World) -> io::Result<bool> {
+/// A faulty endpoint sends answers without end.
+fn endless_answer(world: World) -> io::Result<bool> {
     let world = Arc::new(world);
     let mut readers = Vec::new();
-    for i in 0..16 {
-        let name = format!("c{i:02}");
-        let mut client = Client::connect(&world, &name)?;
+    for i in 0..40 {
+        let mut client = Client::connect(&world, 1, &format!("c{i:02}"))?;
         client.send_reads(&world, 1, LONG_ANSWER)?;
-        // The bound of the rule: half a second after the route's timeout.
-        client.reader.stream.set_read_timeout(Some(Duration::from_millis(500)))?;
+        client.reader.stream.set_read_timeout(Some(Duration::from_secs(1)))?;
         let world = Arc::clone(&world);
         readers.push(thread::spawn(move || client.wait_for_end(&world)));
     }
     let open = readers.into_iter().map(|r| r.join().unwrap()).filter(|is_open| *is_open).count();
     world.record.line(&format!(
-        "{open} of 16 requests have no final answer 0.5 s after the route's timeout of 5 s"
+        "{open} of 40 requests have no final answer 0.5 s after the route's timeout of 5 s"
     ));
     Ok(open >= 8)
 }
 
 impl Client {
-    /// Returns whether the request is still without an answer and its connection open
-    /// half a second after the route's timeout.
-    fn wait_for_end(self, world: &World) -> bool {
-        use std::io::Read;
-        let mut stream = self.reader.stream;
-        let mut len = 0;
-        let mut buf = [0; 4096];
-        loop {
-            let after = self.sent.elapsed();
-            if after > Duration::from_millis(5_500) {
-                world.record.line(&format!(
-                    "client {}: {len} bytes and no end {:.3} s after the request was sent",
-                    self.name,
-                    after.as_secs_f64()
-                ));
-                return true;
-            }
-            match stream.read(&mut buf) {
-                Ok(0) => break,
-                Ok(more) => len += more,
-                Err(err) if matches!(err.kind(), io::ErrorKind::WouldBlock) => {}
-                Err(_) => break,
-            }
-            if len >= LONG_ANSWER {
-                break;
-            }
-        }
+    /// Returns whether the request has neither a whole answer nor a closed connection half
+    /// a second after the route's timeout.
+    fn wait_for_end(mut self, world: &World) -> bool {
+        let limit = Duration::from_millis(5_500);
+        self.reader.until = Some(self.sent + limit);
+        let result = self.reader.message();
+        let after = self.sent.elapsed();
+        let result = result.map(|answer| answer.status()).map_err(|err| err.kind());
         world.record.line(&format!(
-            "client {}: {len} bytes, then an end after {:.3} s",
+            "client {}: {result:?} after {:.3} s",
             self.name,
-            self.sent.elapsed().as_secs_f64()
+            after.as_secs_f64()
         ));
-        false
+        after >= limit
     }
 }
 
@@ -402,3 +403,52 @@
     let second = Duration::from_secs(1);
     Ok(call(addr, "GET", "/read/100", &headers, b"", second)?.status())
 }
+
+/// A faulty endpoint sends interim answers without end.
+fn interim_answers(world: World) -> io::Result<bool> {
+    let world = Arc::new(world);
+    let addr = world.nodes[1].outbound;
+    let mut waiting = Vec::new();
+    for i in 0..8 {
+        for (method, path) in [("GET", "/read/work/100"), ("POST", "/order/work/100")] {
+            let id = format!("c{i}-{}", method.to_lowercase());
+            let world = Arc::clone(&world);
+            waiting.push(thread::spawn(move || is_unanswered(&world, addr, method, path, &id)));
+        }
+    }
+    thread::sleep(Duration::from_millis(300));
+    for i in 0..6 {
+        let world = Arc::clone(&world);
+        let spoilt = move || is_unanswered(&world, addr, "GET", "/read/spoilt/100", &format!("s{i}"));
+        thread::spawn(spoilt);
+    }
+    let started = Instant::now();
+    while started.elapsed() < Duration::from_millis(5_500) {
+        let is_ready = world.nodes[1].is_ready();
+        world.record.line(&format!("the node beside the endpoint is ready: {is_ready}"));
+        thread::sleep(Duration::from_millis(500));
+    }
+    let open = waiting.into_iter().map(|w| w.join().unwrap()).filter(|is_open| *is_open).count();
+    world.record.line(&format!(
+        "{open} of 16 requests have no final answer 0.5 s after the route's timeout of 5 s"
+    ));
+    Ok(open >= 8)
+}
+
+/// Sends a request. Returns whether it has neither an answer nor a closed connection half
+/// a second after the route's timeout.
+fn is_unanswered(world: &World, addr: SocketAddr, method: &str, path: &str, id: &str) -> bool {
+    let headers = [
+        ("Host", HOST),
+        ("Ibiscove-Request-Id", id),
+        ("Ibiscove-Deadline-Ms", "12000"),
+    ];
+    world.record.line(&format!("client sends {id}"));
+    let limit = Duration::from_millis(5_500);
+    let sent = Instant::now();
+    let result = call(addr, method, path, &headers, b"", limit);
+    let after = sent.elapsed();
+    let result = result.map(|answer| answer.status()).map_err(|err| err.kind());
+    world.record.line(&format!("client: {id} has {result:?} after {:.3} s", after.as_secs_f64()));
+    after >= limit
+}
--- a/review/lab-3/src/http.rs
+++ b/review/lab-3/src/http.rs
@@ -2,7 +2,7 @@
 
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The head of a message and its body.
 #[derive(Clone, Debug, Default)]
@@ -36,10 +36,8 @@
 pub struct Reader<S> {
     pub stream: S,
     buf: Vec<u8>,
-    /// Bytes that are read from the stream at a time.
-    pub chunk: usize,
-    /// Pause before each read of the stream.
-    pub pause: Duration,
+    /// When to give up.
+    pub until: Option<Instant>,
 }
 
 impl<S: Read> Reader<S> {
@@ -47,14 +45,15 @@
         Self {
             stream,
             buf: Vec::new(),
-            chunk: 16 << 10,
-            pause: Duration::ZERO,
+            until: None,
         }
     }
 
     fn fill(&mut self) -> io::Result<()> {
-        std::thread::sleep(self.pause);
-        let mut chunk = vec![0; self.chunk];
+        if self.until.is_some_and(|until| Instant::now() > until) {
+            return Err(io::ErrorKind::TimedOut.into());
+        }
+        let mut chunk = vec![0; 16 << 10];
         let len = self.stream.read(&mut chunk)?;
         if len == 0 {
             return Err(io::ErrorKind::UnexpectedEof.into());
