A connection whose peer never pauses lets other tasks run

Cause: one executor thread runs all tasks of a node, and the HTTP library discards such bytes in a loop that ends only when the socket has nothing to read.

Change: every connection, on both sides, of `serve` and of `node`, to the store and between nodes, passes `ibiscove_io::Yielding`, whose operations are pending once after 64 KiB or 32 calls.

--- a/crates/http/src/checked.rs
+++ b/crates/http/src/checked.rs
@@ -2,6 +2,7 @@
 //! panics at statuses that it does not know.
 
 use crate::status::StatusWatch;
+use ibiscove_io::Yielding;
 use smol::io::{AsyncRead, AsyncWrite};
 use std::future::Future;
 use std::io;
@@ -24,7 +25,7 @@
     async fn connect(&self, url: &Url) -> io::Result<Self::Transport> {
         let transport = self.0.connect(url).await?;
         Ok(CheckedTransport {
-            transport,
+            transport: Yielding::new(transport),
             watch: StatusWatch::default(),
         })
     }
@@ -38,7 +39,7 @@
 /// the answer that asks for its body, before it reads.
 #[derive(Debug)]
 pub struct CheckedTransport<T> {
-    transport: T,
+    transport: Yielding<T>,
     watch: StatusWatch,
 }
 
@@ -50,7 +51,7 @@
 impl<T: Transport> CheckedTransport<T> {
     fn check(&mut self, bytes: &[u8]) -> io::Result<()> {
         let invalid = |err: Box<dyn std::error::Error + Send + Sync>| {
-            let peer = self.transport.peer_addr().ok().flatten();
+            let peer = self.transport.get_ref().peer_addr().ok().flatten();
             let peer = peer.map(|peer| peer.to_string()).unwrap_or_default();
             log::warn!(peer = &*peer; "an answer is given up, and its connection closed: {err}");
             io::Error::new(io::ErrorKind::InvalidData, err)
@@ -99,18 +100,18 @@
 
 impl<T: Transport> Transport for CheckedTransport<T> {
     fn set_linger(&mut self, linger: Option<Duration>) -> io::Result<()> {
-        self.transport.set_linger(linger)
+        self.transport.get_mut().set_linger(linger)
     }
 
     fn set_nodelay(&mut self, nodelay: bool) -> io::Result<()> {
-        self.transport.set_nodelay(nodelay)
+        self.transport.get_mut().set_nodelay(nodelay)
     }
 
     fn set_ip_ttl(&mut self, ttl: u32) -> io::Result<()> {
-        self.transport.set_ip_ttl(ttl)
+        self.transport.get_mut().set_ip_ttl(ttl)
     }
 
     fn peer_addr(&self) -> io::Result<Option<SocketAddr>> {
-        self.transport.peer_addr()
+        self.transport.get_ref().peer_addr()
     }
 }
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -8,6 +8,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, Response};
+use ibiscove_io::Yielding;
 use smol::future::FutureExt;
 use smol::io::{AsyncRead, AsyncWrite};
 use smol::net::TcpStream;
@@ -189,7 +190,7 @@
     {
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(settings.max_head_bytes)
-            .handshake(FuturesIo::new(stream))
+            .handshake(FuturesIo::new(Yielding::new(stream)))
             .await
             .map_err(|cause| SendError::Connect {
                 addr,
@@ -481,3 +482,7 @@
         is_timeout.then(|| seconds.trim().parse().ok()).flatten()
     })
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/client.rs"]
+mod tests;
--- a/crates/http/src/pipeline/look_ahead.rs
+++ b/crates/http/src/pipeline/look_ahead.rs
@@ -4,6 +4,7 @@
 use super::framing::{self, Framing, Scan};
 use crate::body::{BodyBudget, BodyReservation};
 use bytes::{Buf, BytesMut};
+use ibiscove_io::Yielding;
 use smol::io::{AsyncRead, AsyncWrite};
 use smol::net::TcpStream;
 use std::collections::VecDeque;
@@ -86,7 +87,7 @@
 /// each complete head behind the request that is being answered, and returns whether
 /// it has started it.
 pub(crate) struct LookAhead<S> {
-    stream: TcpStream,
+    stream: Yielding<TcpStream>,
     settings: PipelineSettings,
     max_head_bytes: usize,
     progress: Arc<Progress>,
@@ -122,7 +123,7 @@
         start: S,
     ) -> Self {
         Self {
-            stream,
+            stream: Yielding::new(stream),
             settings,
             max_head_bytes,
             progress,
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -132,6 +132,8 @@
                     let (budget, handler) = (budget.clone(), handler.clone());
                     smol::spawn(serve_connection(shared, stream, settings, budget, handler))
                         .detach();
+                    // Callers may connect faster than they are accepted.
+                    smol::future::yield_now().await;
                 }
                 Err(err) => {
                     log::warn!("HTTP server: accept failed, retries: {err}");
--- a/crates/http/tests/server.rs
+++ b/crates/http/tests/server.rs
@@ -1,9 +1,13 @@
 //! The server's handling of closed connections, idle connections and draining.
 
+use bytes::Bytes;
 use hyper::{Request, Response};
+use ibiscove_http::body::read_whole;
 use ibiscove_http::{Body, Server, ServerSettings};
+use smol::future::FutureExt;
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::{TcpListener, TcpStream};
+use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -113,3 +117,55 @@
         wait_for(|| server.in_flight() == 0).await;
     });
 }
+
+/// Sends a request, of which `filler` goes on without end, from a thread of its own until
+/// the connection is closed.
+fn send_without_end(addr: SocketAddr, filler: &'static [u8]) -> std::thread::JoinHandle<()> {
+    const HEAD: &[u8] =
+        b"POST / HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n0";
+    std::thread::spawn(move || {
+        let mut stream = std::net::TcpStream::connect(addr).expect("the server listens");
+        let filler = filler.repeat((1 << 20) / filler.len());
+        let mut written = stream.write_all(HEAD);
+        while written.is_ok() {
+            written = stream.write_all(&filler);
+        }
+    })
+}
+
+/// Guards against a caller whose connection keeps all others waiting: a chunk size of
+/// zeros without end was read without a pause.
+#[test]
+fn request_without_end_lets_other_callers_be_served() {
+    smol::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let addr = listener.local_addr().expect("a bound address");
+        let handle = |req: Request<hyper::body::Incoming>| async {
+            let read = read_whole(req.into_body(), 1 << 10).or(async {
+                smol::Timer::after(Duration::from_secs(2)).await;
+                Ok(Bytes::new())
+            });
+            drop(read.await);
+            Response::new(Body::<()>::whole("done"))
+        };
+        let serving = Server::default().run(listener, ServerSettings::default(), handle);
+        smol::spawn(serving).detach();
+        let endless = send_without_end(addr, b"0");
+        smol::Timer::after(Duration::from_millis(300)).await;
+        for _ in 0..20 {
+            let exchange = async {
+                let mut stream = TcpStream::connect(addr).await.expect("the server listens");
+                send_request(&mut stream, "/").await;
+                read_response(&mut stream).await
+            };
+            let timeout = async {
+                smol::Timer::after(Duration::from_secs(10)).await;
+                "no answer".to_owned()
+            };
+            let response = exchange.or(timeout).await;
+            assert!(response.contains("200 ok"), "{response}");
+        }
+        // The request's own limit ends it.
+        smol::unblock(|| endless.join()).await.expect("no panic");
+    });
+}
--- a/crates/mesh/src/heartbeat.rs
+++ b/crates/mesh/src/heartbeat.rs
@@ -142,6 +142,7 @@
             Ok(received) => received,
             Err(err) => {
                 log::debug!("heartbeat cannot be received: {err}");
+                smol::future::yield_now().await;
                 continue;
             }
         };
@@ -155,6 +156,8 @@
                 log::debug!("heartbeat from {from} is malformed and ignored: {err}");
             }
         }
+        // Datagrams may arrive faster than they are applied.
+        smol::future::yield_now().await;
     }
 }
 
--- a/crates/node/src/listen.rs
+++ b/crates/node/src/listen.rs
@@ -183,7 +183,11 @@
 async fn accept(listener: TcpListener, server: Arc<Server<impl Handler>>) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => spawn_connection(stream, &server),
+            Ok((stream, _)) => {
+                spawn_connection(stream, &server);
+                // Callers may connect faster than they are accepted.
+                futures_lite::future::yield_now().await;
+            }
             Err(err) => {
                 log::warn!(
                     role = server.role;
--- a/crates/node/src/transport.rs
+++ b/crates/node/src/transport.rs
@@ -7,6 +7,7 @@
 //! applies.
 
 use futures_lite::{AsyncRead, AsyncWrite, FutureExt};
+use ibiscove_io::Yielding;
 use smol::Timer;
 use std::io;
 use std::net::SocketAddr;
@@ -86,7 +87,7 @@
 /// The byte stream of one connection.
 #[derive(Debug)]
 pub(crate) struct Transport {
-    stream: TcpStream,
+    stream: Yielding<TcpStream>,
     stage: Arc<SharedStage>,
     limits: ConnectionLimits,
     /// Timer of the idle and head timeouts.
@@ -104,7 +105,7 @@
         limits: ConnectionLimits,
     ) -> Self {
         Self {
-            stream,
+            stream: Yielding::new(stream),
             stage,
             read_timer: Timer::after(limits.idle_timeout),
             limits,
@@ -186,6 +187,6 @@
 
 impl trillium_http::transport::Transport for Transport {
     fn peer_addr(&self) -> io::Result<Option<SocketAddr>> {
-        self.stream.peer_addr().map(Some)
+        self.stream.get_ref().peer_addr().map(Some)
     }
 }
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -2,6 +2,7 @@
 
 use crate::messages::{Call, Reply, Request, Response};
 use crate::{PeerError, PeerSettings, Peers, auth, codec, frame, traffic};
+use ibiscove_io::Yielding;
 use smol::channel::{Receiver, Sender};
 use smol::future::FutureExt;
 use smol::io::{self, AsyncRead, AsyncWrite};
@@ -275,8 +276,9 @@
     pending: Arc<PendingCalls>,
     settings: Arc<PeerSettings>,
 ) {
-    let writing = write_calls(stream.clone(), &calls, &pending, &settings);
-    let reading = read_replies(stream, Arc::clone(&pending), settings.max_frame_bytes);
+    let (rx, tx) = (Yielding::new(stream.clone()), Yielding::new(stream));
+    let writing = write_calls(tx, &calls, &pending, &settings);
+    let reading = read_replies(rx, Arc::clone(&pending), settings.max_frame_bytes);
     if let Err(err) = writing.or(reading).await {
         log::debug!("peer client: connection closed: {err}");
     }
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -3,6 +3,7 @@
 use crate::client::with_timeout;
 use crate::messages::{Call, Reply};
 use crate::{PeerService, PeerSettings, auth, codec, frame, traffic};
+use ibiscove_io::Yielding;
 use smol::io;
 use smol::net::{TcpListener, TcpStream};
 use std::sync::Arc;
@@ -29,6 +30,8 @@
                 }
                 let task = serve_connection(stream, Arc::clone(&settings), service.clone());
                 tasks.push(smol::spawn(task));
+                // Peers may connect faster than they are accepted.
+                smol::future::yield_now().await;
             }
             Err(err) => {
                 log::warn!("peer server: accept failed, retries: {err}");
@@ -49,11 +52,12 @@
 }
 
 async fn execute_calls(
-    mut stream: TcpStream,
+    stream: TcpStream,
     settings: &PeerSettings,
     service: impl PeerService,
 ) -> io::Result<()> {
     stream.set_nodelay(true)?;
+    let mut stream = Yielding::new(stream);
     let handshake = auth::handshake_as_server(&mut stream, &settings.key, settings.incarnation);
     let peer = with_timeout(settings.connect_timeout, handshake).await?;
     loop {
