A head of a chunk without end is given up by `ibiscove node`

What callers saw: four connections that send a chunk extension without end occupy four processors of a node for as long as they last, and its memory grows by what they send.

Cause: the HTTP library of `ibiscove node` keeps an incomplete head of a chunk and parses all of it again after each read; nothing bounds it. What a caller sends behind a request that is being handled was kept without limit, too.

--- a/crates/http/src/checked.rs
+++ b/crates/http/src/checked.rs
@@ -1,6 +1,7 @@
 //! Connections whose answers are checked before another HTTP library parses them: it
-//! panics at statuses that it does not know.
+//! panics at statuses that it does not know, and keeps heads of chunks without limit.
 
+use crate::chunk_heads::ChunkHeadWatch;
 use crate::status::StatusWatch;
 use ibiscove_io::Yielding;
 use smol::io::{AsyncRead, AsyncWrite};
@@ -14,7 +15,7 @@
 use trillium_server_common::{Connector, Transport, Url, async_trait};
 
 /// Opens connections whose reads fail at a status that is no answer, or that the library
-/// cannot represent.
+/// cannot represent, and at a chunk whose head is too long.
 #[derive(Clone, Debug)]
 pub struct CheckedConnector<C>(pub C);
 
@@ -27,6 +28,7 @@
         Ok(CheckedTransport {
             transport: Yielding::new(transport),
             watch: StatusWatch::default(),
+            chunk_heads: ChunkHeadWatch::default(),
         })
     }
 
@@ -41,6 +43,7 @@
 pub struct CheckedTransport<T> {
     transport: Yielding<T>,
     watch: StatusWatch,
+    chunk_heads: ChunkHeadWatch,
 }
 
 /// A status that the library cannot represent, so that it cannot be passed on.
@@ -50,8 +53,9 @@
 
 impl<T: Transport> CheckedTransport<T> {
     fn check(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let transport = self.transport.get_ref();
         let invalid = |err: Box<dyn std::error::Error + Send + Sync>| {
-            let peer = self.transport.get_ref().peer_addr().ok().flatten();
+            let peer = transport.peer_addr().ok().flatten();
             let peer = peer.map(|peer| peer.to_string()).unwrap_or_default();
             log::warn!(peer = &*peer; "an answer is given up, and its connection closed: {err}");
             io::Error::new(io::ErrorKind::InvalidData, err)
@@ -62,7 +66,10 @@
                 metrics::counter!("ibiscove_odd_statuses_total").increment(1);
                 Err(invalid(UnknownStatus(status).into()))
             }
-            _ => Ok(()),
+            _ => self
+                .chunk_heads
+                .read(bytes)
+                .map_err(|err| invalid(err.into())),
         }
     }
 }
@@ -86,6 +93,7 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.watch.expect_answer();
+        self.chunk_heads.expect_head();
         Pin::new(&mut self.transport).poll_write(cx, buf)
     }
 
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -15,6 +15,7 @@
 
 pub mod body;
 pub mod checked;
+pub mod chunk_heads;
 pub mod client;
 pub mod direct;
 pub mod headers;
@@ -25,6 +26,7 @@
 
 pub use body::Body;
 pub use checked::CheckedConnector;
+pub use chunk_heads::ChunkHeadWatch;
 pub use client::{Exchange, Pool, PoolSettings, SendError};
 pub use direct::DirectConnection;
 pub use pipeline::{PipelineSettings, RequestBody};
--- a/crates/node/src/transport.rs
+++ b/crates/node/src/transport.rs
@@ -4,9 +4,11 @@
 //! connection of a caller that is inactive between requests, that does not
 //! finish a request's head in time, or that does not read its response. While a
 //! handler runs it waits without limit, because the request's own deadline
-//! applies.
+//! applies. Nor does the library bound what it keeps, of the head of a chunk or behind
+//! a request that is being handled; both are bounded here.
 
 use futures_lite::{AsyncRead, AsyncWrite, FutureExt};
+use ibiscove_http::ChunkHeadWatch;
 use ibiscove_io::Yielding;
 use smol::Timer;
 use std::io;
@@ -18,6 +20,10 @@
 use std::time::Duration;
 use trillium_smol::async_net::TcpStream;
 
+/// Bytes that are read behind a request while it is handled. Beyond them the caller is
+/// not read from, and its disconnecting not noticed, until the response is sent.
+const MAX_READ_AHEAD: usize = 64 << 10;
+
 /// Limits of one listener's connections.
 #[derive(Clone, Debug)]
 pub struct ConnectionLimits {
@@ -96,6 +102,9 @@
     timed_head: u32,
     /// Timer of the write timeout; set while the caller reads nothing.
     write_timer: Option<Timer>,
+    chunk_heads: ChunkHeadWatch,
+    /// Bytes that were read behind the request that is being handled.
+    read_ahead: usize,
 }
 
 impl Transport {
@@ -111,7 +120,28 @@
             limits,
             timed_head: 0,
             write_timer: None,
+            chunk_heads: ChunkHeadWatch::default(),
+            read_ahead: 0,
+        }
+    }
+
+    /// Reads while a request is handled: the rest of its body, and what follows it.
+    fn poll_read_handling(
+        &mut self,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        // The end of the handler wakes the task.
+        if self.read_ahead >= MAX_READ_AHEAD {
+            return Poll::Pending;
         }
+        let handled_before = self.stage.awaited_heads.load(Ordering::SeqCst);
+        let is_behind = self.chunk_heads.complete_messages() > handled_before.into();
+        let len = ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        if is_behind {
+            self.read_ahead += len;
+        }
+        Poll::Ready(Ok(len))
     }
 
     /// Reads while waiting for a head, within the idle and head timeouts.
@@ -119,6 +149,7 @@
         let head = self.stage.awaited_heads.load(Ordering::SeqCst);
         if head != self.timed_head {
             self.timed_head = head;
+            self.read_ahead = 0;
             self.read_timer.set_after(self.limits.idle_timeout);
         }
         let read = Pin::new(&mut self.stream).poll_read(cx, buf);
@@ -158,10 +189,13 @@
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        match self.stage.get() {
+        let read = match self.stage.get() {
             Stage::Head => self.poll_read_head(cx, buf),
-            Stage::Handling => Pin::new(&mut self.stream).poll_read(cx, buf),
-        }
+            Stage::Handling => self.poll_read_handling(cx, buf),
+        };
+        let len = ready!(read)?;
+        self.chunk_heads.read(&buf[..len])?;
+        Poll::Ready(Ok(len))
     }
 }
 
--- a/tests/all/edges.rs
+++ b/tests/all/edges.rs
@@ -8,7 +8,7 @@
 use ibiscove_wire::SharedKey;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use yare::parameterized;
 
 /// Settings with short timeouts, for tests that wait for them to expire.
@@ -134,6 +134,62 @@
     }
 }
 
+/// Guards against a caller that takes a processor of the node, and its memory, for the
+/// head of a chunk that has no end.
+#[test]
+fn request_whose_chunk_has_no_end_of_its_head_is_given_up() {
+    /// What the node reads before it gives up, and what fits into the two sockets.
+    const MAX_SENT: usize = 32 << 20;
+    let pair = start(NodeSettings::default());
+    let addr = pair.node.addrs().caller;
+    let senders: Vec<_> = (0..4)
+        .map(|_| {
+            std::thread::spawn(move || {
+                let mut stream = connect(addr);
+                let head = "POST /service/k HTTP/1.1\r\nHost: a\r\n\
+                            Transfer-Encoding: chunked\r\n\r\n1;a=";
+                let filler = vec![b'b'; 64 << 10];
+                let mut written = stream.write_all(head.as_bytes());
+                let mut sent = 0;
+                while written.is_ok() && sent < MAX_SENT {
+                    written = stream.write_all(&filler);
+                    sent += filler.len();
+                }
+                sent
+            })
+        })
+        .collect();
+    let started = Instant::now();
+    for sender in senders {
+        let sent = sender.join().expect("no sender panics");
+        assert!(sent < MAX_SENT, "the node has read {sent} bytes");
+    }
+    let took = started.elapsed();
+    assert!(took < Duration::from_secs(5), "given up after {took:?}");
+}
+
+/// Guards against memory without limit for what a caller sends behind a request that is
+/// being handled.
+#[test]
+fn caller_is_not_read_from_without_limit_while_its_request_is_handled() {
+    const MAX_SENT: usize = 64 << 20;
+    let pair = start(NodeSettings::default());
+    pair.upstream
+        .update_settings(|settings| settings.service_time = Duration::from_secs(3));
+    let mut stream = connect(pair.node.addrs().caller);
+    let request = b"GET /service/k HTTP/1.1\r\nHost: a\r\n\r\n";
+    stream.write_all(request).expect("the node accepts bytes");
+    stream
+        .set_write_timeout(Some(Duration::from_secs(1)))
+        .expect("a valid timeout");
+    let filler = vec![b'b'; 64 << 10];
+    let mut sent = 0;
+    while sent < MAX_SENT && stream.write_all(&filler).is_ok() {
+        sent += filler.len();
+    }
+    assert!(sent < MAX_SENT, "the node has read {sent} bytes");
+}
+
 #[test]
 fn idle_connection_is_closed_without_a_response() {
     let pair = start(short_timeouts());
