Keys of an upstream that leaves wait for its holds, whatever its listener does

An endpoint that drains while the store is away closes its listener and its connections before its process ends; its node takes that for the end and gives all its keys away.

Cause: a refused connection with none open counted as the end of the process. A process that shuts down does both before it ends.

Change: whether the upstream has said that it leaves decides, in the range controller, for a refused release and for a request that finds its connection refused. If it has, its keys wait until its grants have ended. Upstreams that crash have not, so their keys still move at once.

--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -52,8 +52,8 @@
     fn key_status(&self, key: Key) -> KeyStatus;
     /// Records how long a request for a key ran at the upstream.
     fn record_work(&self, key: Key, elapsed: Duration);
-    /// Records that the upstream's process has ended.
-    fn record_upstream_ended(&self);
+    /// Records that the upstream's address refuses connections and none is open.
+    fn record_upstream_refusing(&self);
     /// Records that the upstream is leaving.
     fn record_upstream_leaving(&self, incarnation: &UpstreamIncarnation);
 }
@@ -69,7 +69,7 @@
         RangeController::record_work(self, key, elapsed);
     }
 
-    fn record_upstream_ended(&self) {
+    fn record_upstream_refusing(&self) {
         self.record_upstream_gone(true);
     }
 
--- a/crates/proxy/src/gate/crashes.rs
+++ b/crates/proxy/src/gate/crashes.rs
@@ -135,7 +135,7 @@
                     && !self.inner.crash_watch().has_crashed(incarnation)
                     && self.is_address_refused().await
                 {
-                    self.record_process_ended(incarnation).await;
+                    self.record_refused(incarnation).await;
                 }
             }
         }
@@ -151,10 +151,10 @@
         self.inner.pool.is_refused(addr).or(timeout).await
     }
 
-    /// Records that the upstream's address refuses connections. Its process has ended if
-    /// none is open either: one that stops gracefully refuses new connections first, and
-    /// its last requests run on.
-    pub(super) async fn record_process_ended(&self, upstream: &UpstreamIncarnation) {
+    /// Records that the upstream's address refuses connections. It serves nobody if none
+    /// is open either: one that stops gracefully refuses new connections first, and its
+    /// last requests run on.
+    pub(super) async fn record_refused(&self, upstream: &UpstreamIncarnation) {
         let addr = self.inner.local_upstream.addr();
         if !self.inner.pool.wait_until_closed(addr, CLOSE_DELAY).await {
             log::info!(upstream = &*upstream.id;
@@ -170,7 +170,7 @@
         }
         self.inner.record_crash(upstream, self.inner.clock.now());
         if let Some(keys) = self.inner.key_ownership.get() {
-            keys.record_upstream_ended();
+            keys.record_upstream_refusing();
         }
     }
 }
--- a/crates/proxy/src/gate/exchange.rs
+++ b/crates/proxy/src/gate/exchange.rs
@@ -119,7 +119,7 @@
             upstream = &*upstream.announcement.incarnation.id;
             "the upstream gave no answer: {err}");
         if err.is_connection_refused() {
-            self.record_process_ended(&upstream.announcement.incarnation)
+            self.record_refused(&upstream.announcement.incarnation)
                 .await;
         }
         match err.is_unsent() {
--- a/crates/ranges/src/controller.rs
+++ b/crates/ranges/src/controller.rs
@@ -122,8 +122,10 @@
     incarnation: Option<UpstreamIncarnation>,
     /// The incarnation that `grants` were issued to.
     granted_to: Option<UpstreamIncarnation>,
-    /// The upstream or the node is shutting down, and all ranges move away.
-    is_leaving: bool,
+    /// The upstream has said that it shuts down.
+    is_upstream_leaving: bool,
+    /// The node is shutting down.
+    is_node_leaving: bool,
     /// From when on the upstream hands its ranges over, while its data centre is
     /// evacuated.
     evacuated_from: Option<Instant>,
@@ -150,6 +152,13 @@
     unreadable: BTreeSet<SectionIndex>,
 }
 
+impl State {
+    /// Returns whether all ranges are to move away.
+    fn is_leaving(&self) -> bool {
+        self.is_upstream_leaving || self.is_node_leaving
+    }
+}
+
 impl<T: Table, G: Grantee, C: Clock + BootClock> RangeController<T, G, C> {
     /// Returns a controller that is idle until [`RangeController::run`].
     pub fn new(deps: ControllerDependencies<T, G, C>) -> Self {
@@ -161,7 +170,8 @@
                 state: Mutex::new(State {
                     incarnation: None,
                     granted_to: None,
-                    is_leaving: false,
+                    is_upstream_leaving: false,
+                    is_node_leaving: false,
                     evacuated_from: None,
                     lease: Lease::default(),
                     grants,
@@ -192,12 +202,12 @@
         zip(leases_and_grants, assignment_and_moves).await;
     }
 
-    /// Records an announcement of the local upstream; `is_leaving` says whether
-    /// the upstream or this node is shutting down.
+    /// Records an announcement of the local upstream; `is_leaving` says whether it is
+    /// shutting down.
     pub fn record_announcement(&self, incarnation: &UpstreamIncarnation, is_leaving: bool) {
         let mut state = self.state();
-        let is_unchanged =
-            state.incarnation.as_ref() == Some(incarnation) && state.is_leaving == is_leaving;
+        let is_unchanged = state.incarnation.as_ref() == Some(incarnation)
+            && state.is_upstream_leaving == is_leaving;
         if is_unchanged {
             drop(state);
             // Wakes the task that sends grants which wait for a fresh
@@ -216,7 +226,7 @@
             state.lease.clear();
         }
         state.incarnation = Some(incarnation.clone());
-        state.is_leaving = is_leaving;
+        state.is_upstream_leaving = is_leaving;
         drop(state);
         self.inner.state_changed.notify(usize::MAX);
     }
@@ -258,18 +268,20 @@
 
     /// Starts to move all ranges away, because the node is shutting down.
     pub fn leave(&self) {
-        self.state().is_leaving = true;
+        self.state().is_node_leaving = true;
         self.inner.state_changed.notify(usize::MAX);
     }
 
-    /// Records that the local upstream is gone. When `is_certain` its grants
-    /// have ended with it, otherwise they may last until they expire.
-    pub fn record_upstream_gone(&self, is_certain: bool) {
+    /// Records that the local upstream is gone; `is_refusing` says whether its address
+    /// refuses connections and none to it is open. Its process has ended then, and its
+    /// grants with it, unless it had said that it leaves. Otherwise they last until they
+    /// expire.
+    pub fn record_upstream_gone(&self, is_refusing: bool) {
         let mut state = self.state();
         if state.incarnation.is_none() {
             return;
         }
-        if is_certain {
+        if is_refusing && !state.is_upstream_leaving {
             state.grants.end();
         }
         state.incarnation = None;
--- a/crates/ranges/src/controller/coordinate.rs
+++ b/crates/ranges/src/controller/coordinate.rs
@@ -47,7 +47,7 @@
     fn is_coordinator(&self) -> bool {
         let state = self.state();
         let is_leased_in_era = state.lease.version.map(era_of) == self.inner.deps.table.era();
-        if state.is_leaving
+        if state.is_leaving()
             || state.evacuated_from.is_some()
             || state.incarnation.is_none()
             || !self.holds_lease(&state)
--- a/crates/ranges/src/controller/moving.rs
+++ b/crates/ranges/src/controller/moving.rs
@@ -75,7 +75,7 @@
         let (incarnation, is_leaving, evacuated_from) = {
             let state = self.state();
             let incarnation = state.incarnation.clone();
-            (incarnation, state.is_leaving, state.evacuated_from)
+            (incarnation, state.is_leaving(), state.evacuated_from)
         };
         let Some(life) = incarnation else {
             self.transfer_after_upstream_exit().await;
@@ -412,9 +412,12 @@
         };
         let attempts = async {
             loop {
-                let reply = self.inner.deps.grantee.release(call.clone()).await;
-                if reply != ReleaseReply::Unanswered {
-                    return reply;
+                match self.inner.deps.grantee.release(call.clone()).await {
+                    ReleaseReply::Unanswered => {}
+                    // A process that shuts down closes its listener and its connections,
+                    // and holds its keys until it exits.
+                    ReleaseReply::Ended if self.state().is_upstream_leaving => {}
+                    reply => return reply,
                 }
                 self.inner.deps.clock.sleep(RELEASE_RETRY_DELAY).await;
             }
--- a/crates/ranges/src/grants.rs
+++ b/crates/ranges/src/grants.rs
@@ -68,8 +68,8 @@
         /// Opaque state for the next owner's first grant.
         handover: Option<Arc<str>>,
     },
-    /// The upstream's address refuses connections and none is open: its process has
-    /// ended, and all its grants with it.
+    /// The upstream's address refuses connections and none is open. Its process has
+    /// ended, and all its grants with it, unless it had said that it leaves.
     Ended,
     /// No response came.
     Unanswered,
--- a/crates/ranges/tests/explorer/schedules.rs
+++ b/crates/ranges/tests/explorer/schedules.rs
@@ -132,8 +132,13 @@
         }
         9 => {
             cluster.schedule(at, move |c| c.upstreams.drain(node));
-            cluster.schedule(at + ms(3_000), move |c| c.upstreams.stop(node));
-            cluster.schedule(end + ms(3_000), move |c| c.upstreams.start(node));
+            let exit = ms(cluster.sim.draw(|rng| rng.u64(0..1_500)));
+            let closed = at + ms(3_000);
+            cluster.schedule(closed, move |c| c.upstreams.stop_listening(node));
+            cluster.schedule(closed + exit, move |c| c.upstreams.stop(node));
+            cluster.schedule(end.max(at + exit) + ms(3_000), move |c| {
+                c.upstreams.start(node)
+            });
         }
         10 => {
             cluster.schedule(at, move |c| (0..count).for_each(|node| c.kill(node)));
--- a/crates/ranges/tests/explorer/two_holders.rs
+++ b/crates/ranges/tests/explorer/two_holders.rs
@@ -170,3 +170,24 @@
         cluster.schedule(restored, move |c| c.table.restore(START - ms(3_000)));
     });
 }
+
+/// Guards against keys that are given away while an upstream that shuts down still holds
+/// them: its closed listener was taken for the end of its process.
+#[test]
+fn keys_of_an_upstream_that_leaves_are_not_given_away_before_it_has_ended() {
+    expect_one_holder(|cluster, seed| {
+        // It can't hand its keys over while it serves.
+        let returned = START + ms(3_600 + 40 * seed);
+        for node in 0..4 {
+            cluster.table.inject(node, TableFaults::UNAVAILABLE);
+            cluster.schedule(returned, move |c| {
+                c.table.inject(node, TableFaults::default());
+            });
+        }
+        cluster.upstreams.drain(0);
+        let closed = START + ms(3_700);
+        cluster.schedule(closed, |c| c.upstreams.stop_listening(0));
+        cluster.schedule(closed + ms(1_600), |c| c.upstreams.stop(0));
+        cluster.schedule(closed + ms(4_000), |c| c.upstreams.start(0));
+    });
+}
--- a/crates/ranges/tests/explorer/upstreams.rs
+++ b/crates/ranges/tests/explorer/upstreams.rs
@@ -48,6 +48,8 @@
 pub struct State {
     pub incarnation: UpstreamIncarnation,
     pub is_up: bool,
+    /// Whether it refuses connections, and has none, although it is up.
+    pub has_stopped_listening: bool,
     /// Whether its announcements do not reach its node although it is up.
     pub is_silent: bool,
     pub is_draining: bool,
@@ -82,6 +84,7 @@
         let state = |index| State {
             incarnation: incarnation_of(index, 1),
             is_up: true,
+            has_stopped_listening: false,
             is_silent: false,
             is_draining: false,
             faults: GrantFaults::default(),
@@ -127,16 +130,21 @@
         self.checker().violations.clone()
     }
 
-    /// Returns the upstream's incarnation and whether it drains, while it is
-    /// up.
+    /// Returns the upstream's incarnation and whether it drains, while its address
+    /// accepts connections.
     pub fn incarnation_if_up(&self, index: usize) -> Option<(UpstreamIncarnation, bool)> {
         let all = self.all();
         let state = &all[index];
-        state
-            .is_up
+        (state.is_up && !state.has_stopped_listening)
             .then(|| (state.incarnation.clone(), state.is_draining))
     }
 
+    /// Closes the listener and all connections. The process holds its keys until it is
+    /// stopped.
+    pub fn stop_listening(&self, index: usize) {
+        self.all()[index].has_stopped_listening = true;
+    }
+
     pub fn stop(&self, index: usize) {
         let mut all = self.all();
         all[index].is_up = false;
@@ -149,6 +157,7 @@
         let state = &mut all[index];
         state.incarnation.born_ms += 1;
         state.is_up = true;
+        state.has_stopped_listening = false;
         state.is_draining = false;
         state.holds.clear();
         state.highest_fences.clear();
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -456,6 +456,9 @@
         if inner.range_controller.set(controller.clone()).is_ok() {
             inner.gate.set_key_ownership(controller.clone());
             self.update_evacuation();
+            if inner.is_shutting_down.load(Ordering::Acquire) {
+                controller.leave();
+            }
             smol::spawn(controller.run()).detach();
             self.update_range_controller();
         }
@@ -485,8 +488,7 @@
             return;
         };
         if let Some(upstream) = self.inner.local_upstream.current() {
-            let is_leaving = upstream.draining_since.is_some()
-                || self.inner.is_shutting_down.load(Ordering::Acquire);
+            let is_leaving = upstream.draining_since.is_some();
             controller.record_announcement(&upstream.announcement.incarnation, is_leaving);
         }
     }
