A request is in flight until its answer is written to the socket

Cause: a request counted as in flight until the HTTP library had taken over the last frame of its answer. That library keeps up to 64 KiB and a frame for a socket that takes no more, and the process ended with it.

Change: the request ends when the library flushes the socket, which it does once its own buffer is empty. A connection that is closed with unread bytes of its client counts, too, until it is closed: the end of the process would reset it.

--- a/crates/http/src/pipeline/look_ahead.rs
+++ b/crates/http/src/pipeline/look_ahead.rs
@@ -3,6 +3,7 @@
 use super::PipelineSettings;
 use super::framing::{self, Framing, Scan};
 use crate::body::{BodyBudget, BodyReservation};
+use crate::server::InFlightGuard;
 use bytes::{Buf, BytesMut};
 use ibiscove_io::Yielding;
 use smol::io::{AsyncRead, AsyncWrite};
@@ -29,6 +30,8 @@
     /// The connection's task, while it has bytes that it will pass on only when the
     /// response has been sent.
     waiting: Mutex<Option<Waker>>,
+    /// Requests whose responses hyper has taken over and not yet written to the socket.
+    unwritten: Mutex<Vec<InFlightGuard>>,
 }
 
 impl Progress {
@@ -58,26 +61,45 @@
         }
     }
 
+    /// Ends the requests whose responses have been written to the socket.
+    fn end_written(&self) {
+        self.unwritten().clear();
+    }
+
+    fn unwritten(&self) -> MutexGuard<'_, Vec<InFlightGuard>> {
+        self.unwritten
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock(&self) -> MutexGuard<'_, Option<Waker>> {
         self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 /// Held by the response to the request that hyper has; dropped when hyper has taken
-/// over all of it, after which the next request may be passed on.
+/// over all of it, after which the next request may be passed on. The request stays in
+/// flight until hyper's buffer has been written.
 #[derive(Debug)]
-pub(crate) struct AnswerGuard(Arc<Progress>);
+pub(crate) struct AnswerGuard {
+    progress: Arc<Progress>,
+    in_flight: Option<InFlightGuard>,
+}
 
 impl AnswerGuard {
-    pub(crate) fn new(progress: &Arc<Progress>) -> Self {
-        Self(Arc::clone(progress))
+    pub(crate) fn new(progress: &Arc<Progress>, in_flight: InFlightGuard) -> Self {
+        Self {
+            progress: Arc::clone(progress),
+            in_flight: Some(in_flight),
+        }
     }
 }
 
 impl Drop for AnswerGuard {
     fn drop(&mut self) {
-        self.0.is_answering.store(false, Ordering::Release);
-        if let Some(waker) = self.0.lock().take() {
+        self.progress.unwritten().extend(self.in_flight.take());
+        self.progress.is_answering.store(false, Ordering::Release);
+        if let Some(waker) = self.progress.lock().take() {
             waker.wake();
         }
     }
@@ -382,8 +404,11 @@
         Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 
+    /// hyper flushes the stream once its own buffer is empty.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
+        self.progress.end_written();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -66,7 +66,7 @@
     shared: Arc<ServerState>,
 }
 
-#[derive(Default)]
+#[derive(Debug, Default)]
 pub(crate) struct ServerState {
     is_draining: AtomicBool,
     drain_started: Event,
@@ -150,13 +150,15 @@
         self.shared.drain_started.notify(usize::MAX);
     }
 
-    /// Returns the number of requests whose response has not been sent.
+    /// Returns the number of requests whose response has not been written to its socket,
+    /// and of connections that close with bytes of the client unread.
     pub fn in_flight(&self) -> usize {
         self.shared.in_flight()
     }
 }
 
-/// Counts a request as in flight until its response body has been sent.
+/// Counts a request as in flight until its response has been written.
+#[derive(Debug)]
 pub(crate) struct InFlightGuard(Arc<ServerState>);
 
 impl InFlightGuard {
@@ -172,11 +174,10 @@
     }
 }
 
-/// A response body that counts its request as in flight until it has been sent.
+/// A response body that tells when hyper has taken over all of it.
 struct AnswerBody<B> {
     /// None if the server itself refuses the request.
     body: Option<B>,
-    _in_flight: InFlightGuard,
     _answer: AnswerGuard,
 }
 
@@ -220,8 +221,8 @@
         req: Request<Incoming>,
     ) -> impl Future<Output = Response<AnswerBody<H::Body>>> + use<H> {
         let own = Arc::clone(self);
-        let answer = AnswerGuard::new(&self.progress);
         let (next, in_flight) = self.queue.take(req, |req| self.start_in_turn(req));
+        let answer = AnswerGuard::new(&self.progress, in_flight);
         if next.is_early() {
             self.progress.allow_early();
         }
@@ -229,7 +230,6 @@
             let response = next.response().await;
             let mut response = response.map(|body| AnswerBody {
                 body,
-                _in_flight: in_flight,
                 _answer: answer,
             });
             let is_draining = own.shared.is_draining.load(Ordering::Acquire);
@@ -282,13 +282,15 @@
     }
     let progress = Arc::<Progress>::default();
     let own = Arc::new(Connection {
-        shared,
+        shared: Arc::clone(&shared),
         handler,
         queue: Queue::default(),
         progress: Arc::clone(&progress),
     });
     exchange(own, stream.clone(), settings, &budget).await;
     if progress.has_read_ahead() && !progress.has_client_left() {
+        // The end of the process would reset the connection.
+        let _in_flight = InFlightGuard::new(&shared);
         linger(stream).await;
     }
 }
--- a/crates/http/tests/server.rs
+++ b/crates/http/tests/server.rs
@@ -1,16 +1,20 @@
 //! The server's handling of closed connections, idle connections and draining.
 
 use bytes::Bytes;
+use http_body::{Body as HttpBody, Frame};
 use hyper::{Request, Response};
 use ibiscove_http::body::read_whole;
 use ibiscove_http::{Body, Server, ServerSettings};
 use smol::future::FutureExt;
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::{TcpListener, TcpStream};
+use socket2::{Domain, SockRef, Socket, Type};
 use std::io::Write;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 /// Decrements the count of running requests when dropped.
@@ -169,3 +173,108 @@
         smol::unblock(|| endless.join()).await.expect("no panic");
     });
 }
+
+/// Bytes of a frame of the bodies below.
+const FRAME_BYTES: usize = 4 << 10;
+
+/// A body of some frames, which counts those that were taken.
+struct CountedBody {
+    left: usize,
+    taken: Arc<AtomicUsize>,
+}
+
+impl HttpBody for CountedBody {
+    type Data = Bytes;
+    type Error = std::convert::Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        if self.left == 0 {
+            return Poll::Ready(None);
+        }
+        self.left -= 1;
+        self.taken.fetch_add(1, Ordering::SeqCst);
+        Poll::Ready(Some(Ok(Frame::data(Bytes::from_static(
+            &[b'a'; FRAME_BYTES],
+        )))))
+    }
+}
+
+/// Starts a server that answers a request for `/N` with N frames. Its connections, and
+/// those of `connect_slow_reader`, have short buffers.
+async fn serve_frames() -> (SocketAddr, Server, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let buffers = SockRef::from(&listener).set_send_buffer_size(16 << 10);
+    buffers.expect("a valid size");
+    let addr = listener.local_addr().expect("a bound address");
+    let server = Server::default();
+    let taken = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&taken);
+    let handle = move |req: Request<hyper::body::Incoming>| {
+        let left = req.uri().path()[1..].parse().expect("a number of frames");
+        let taken = Arc::clone(&counted);
+        async move { Response::new(CountedBody { left, taken }) }
+    };
+    let serving = server
+        .clone()
+        .run(listener, ServerSettings::default(), handle);
+    smol::spawn(serving).detach();
+    (addr, server, taken)
+}
+
+async fn connect_slow_reader(addr: SocketAddr) -> TcpStream {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_recv_buffer_size(4 << 10).expect("a valid size");
+    socket.connect(&addr.into()).expect("the server listens");
+    let stream = smol::Async::new(std::net::TcpStream::from(socket)).expect("a socket");
+    TcpStream::from(stream)
+}
+
+/// Returns how many frames the server takes from a body while its client does not read.
+async fn frames_taken_unread(addr: SocketAddr, taken: &AtomicUsize) -> usize {
+    let mut stream = connect_slow_reader(addr).await;
+    send_request(&mut stream, "/100000").await;
+    let mut before = 0;
+    loop {
+        smol::Timer::after(Duration::from_millis(200)).await;
+        match taken.load(Ordering::SeqCst) {
+            now if now == before && now > 0 => return taken.swap(0, Ordering::SeqCst),
+            now => before = now,
+        }
+    }
+}
+
+/// Reads a body of `frames` frames; returns whether it is complete.
+async fn is_whole(stream: &mut TcpStream, frames: usize) -> bool {
+    let mut read = 0;
+    let mut buf = vec![0; 64 << 10];
+    while read < frames * FRAME_BYTES {
+        match stream.read(&mut buf).await {
+            Ok(len @ 1..) => read += buf[..len].iter().filter(|byte| **byte == b'a').count(),
+            _ => return false,
+        }
+    }
+    true
+}
+
+/// Guards against a process that ends before its last answers are written: bytes that
+/// wait in its memory for a slow reader counted as sent.
+#[test]
+fn request_is_in_flight_until_its_answer_is_written_to_the_socket() {
+    smol::block_on(async {
+        let (addr, server, taken) = serve_frames().await;
+        // All of it fits into the buffers of the process and of the sockets.
+        let frames = frames_taken_unread(addr, &taken).await - 4;
+        wait_for(|| server.in_flight() == 0).await;
+        taken.store(0, Ordering::SeqCst);
+        let mut stream = connect_slow_reader(addr).await;
+        send_request(&mut stream, &format!("/{frames}")).await;
+        wait_for(|| taken.load(Ordering::SeqCst) == frames).await;
+        smol::Timer::after(Duration::from_millis(300)).await;
+        assert_eq!(server.in_flight(), 1);
+        assert!(is_whole(&mut stream, frames).await);
+        wait_for(|| server.in_flight() == 0).await;
+    });
+}
