A peer that reads late is not taken for one that is gone

Cause: TCP_USER_TIMEOUT of 2.5 s on all connections. While a peer's window is closed, the kernel counts it from the first probe, whether probes are acknowledged or not.

Change: connections that a node accepts, and those to the local upstream, have no user timeout. A write to a caller or a calling node fails when its peer has taken nothing for 30 s, by the code that `ibiscove node` had for it (ibiscove_io::WriteTimeout). Calls to other nodes and to the store keep the 2.5 s: what they send is read at once there, and a machine that is cut off must show before a deadline.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -30,6 +30,9 @@
     pub max_idle: Duration,
     /// Maximum number of idle connections to one address.
     pub max_idle_per_addr: usize,
+    /// Time that sent bytes may remain unacknowledged before a connection fails, see
+    /// [`socket::fail_unacknowledged`]; none for peers that may read late.
+    pub unacknowledged_timeout: Option<Duration>,
     /// Whether closing a connection discards unsent bytes.
     pub reset_on_close: bool,
     /// Largest head of a response, in bytes; no connection buffers more of what it
@@ -43,6 +46,7 @@
             connect_timeout: Duration::from_millis(1_200),
             max_idle: Duration::from_secs(4),
             max_idle_per_addr: 64,
+            unacknowledged_timeout: None,
             reset_on_close: true,
             max_head_bytes: 64 << 10,
         }
@@ -429,6 +433,9 @@
     let connecting = TcpStream::connect(addr);
     let stream = connecting.or(timeout).await.map_err(failed)?;
     socket::configure(&stream).map_err(failed)?;
+    if let Some(timeout) = settings.unacknowledged_timeout {
+        socket::fail_unacknowledged(&stream, timeout).map_err(failed)?;
+    }
     if settings.reset_on_close {
         socket::reset_on_close(&stream).map_err(failed)?;
     }
--- a/crates/http/src/pipeline/look_ahead.rs
+++ b/crates/http/src/pipeline/look_ahead.rs
@@ -5,7 +5,7 @@
 use crate::body::{BodyBudget, BodyReservation};
 use crate::server::InFlightGuard;
 use bytes::{Buf, BytesMut};
-use ibiscove_io::Yielding;
+use ibiscove_io::{WriteTimeout, Yielding};
 use smol::io::{AsyncRead, AsyncWrite};
 use smol::net::TcpStream;
 use std::collections::VecDeque;
@@ -109,7 +109,7 @@
 /// each complete head behind the request that is being answered, and returns whether
 /// it has started it.
 pub(crate) struct LookAhead<S> {
-    stream: Yielding<TcpStream>,
+    stream: Yielding<WriteTimeout<TcpStream>>,
     settings: PipelineSettings,
     max_head_bytes: usize,
     progress: Arc<Progress>,
@@ -137,7 +137,7 @@
 
 impl<S: FnMut(&[u8]) -> bool> LookAhead<S> {
     pub(crate) fn new(
-        stream: TcpStream,
+        stream: WriteTimeout<TcpStream>,
         settings: PipelineSettings,
         max_head_bytes: usize,
         budget: &BodyBudget,
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -16,6 +16,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
+use ibiscove_io::WriteTimeout;
 use smol::future::FutureExt;
 use smol::io::AsyncReadExt;
 use smol::net::{TcpListener, TcpStream};
@@ -46,6 +47,9 @@
     /// Timeout of receiving a head, including the idle time before it. Longer
     /// than common idle timeouts of clients, so that they close first.
     pub head_timeout: Duration,
+    /// Timeout of the client to take at least some of a response. Longer than it takes a
+    /// client that is busy to read.
+    pub write_timeout: Duration,
     /// Limits on pipelined requests.
     pub pipeline: PipelineSettings,
 }
@@ -55,6 +59,7 @@
         Self {
             max_head_bytes: 64 << 10,
             head_timeout: Duration::from_secs(75),
+            write_timeout: Duration::from_secs(30),
             pipeline: PipelineSettings::default(),
         }
     }
@@ -308,7 +313,7 @@
 {
     let starter = Arc::clone(&own);
     let io = LookAhead::new(
-        stream,
+        WriteTimeout::new(stream, settings.write_timeout),
         settings.pipeline,
         settings.max_head_bytes,
         budget,
--- a/crates/http/tests/client.rs
+++ b/crates/http/tests/client.rs
@@ -413,3 +413,34 @@
         assert_eq!(connections.load(Ordering::SeqCst), 1);
     });
 }
+
+/// Guards against a request that is cut off while an upstream reads it late: it was taken
+/// for dead once its window had been closed for a while.
+#[test]
+fn upstream_that_reads_late_gets_the_whole_request() {
+    const BODY_BYTES: usize = 8 << 20;
+    smol::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let addr = listener.local_addr().expect("a bound address");
+        let upstream = smol::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("the client connects");
+            smol::Timer::after(Duration::from_secs(4)).await;
+            let mut left = BODY_BYTES;
+            let mut buf = vec![0; 64 << 10];
+            while left > 0 {
+                match stream.read(&mut buf).await {
+                    Ok(len @ 1..) => left -= buf[..len].iter().filter(|b| **b == b'z').count(),
+                    _ => return,
+                }
+            }
+            let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone";
+            stream.write_all(answer).await.expect("the client reads");
+        });
+        let mut req = Request::new(Body::whole(vec![b'z'; BODY_BYTES]));
+        *req.method_mut() = Method::POST;
+        let pool = Pool::new(PoolSettings::default());
+        let sent = pool.send(addr, req, Duration::ZERO).await;
+        assert_eq!(sent.expect("an answer").response.status(), 200);
+        upstream.await;
+    });
+}
--- a/crates/http/tests/server.rs
+++ b/crates/http/tests/server.rs
@@ -278,3 +278,18 @@
         wait_for(|| server.in_flight() == 0).await;
     });
 }
+
+/// Guards against answers that are lost because their client reads late: it was taken for
+/// dead once its window had been closed for a while, although it acknowledges all probes.
+#[test]
+fn client_that_reads_late_gets_its_whole_answer() {
+    smol::block_on(async {
+        let (addr, server, taken) = serve_frames().await;
+        let frames = frames_taken_unread(addr, &taken).await;
+        let mut stream = connect_slow_reader(addr).await;
+        send_request(&mut stream, &format!("/{frames}")).await;
+        smol::Timer::after(Duration::from_secs(5)).await;
+        assert!(is_whole(&mut stream, frames).await);
+        drop(server);
+    });
+}
--- a/crates/io/src/lib.rs
+++ b/crates/io/src/lib.rs
@@ -1,9 +1,11 @@
-//! Byte streams that share an executor fairly.
+//! Byte streams that share an executor fairly and give up peers that take nothing.
 //!
 //! Every connection of a node, to callers, upstreams, other nodes and the store,
 //! passes a [`Yielding`]: whatever its peer sends, it can't keep the tasks of other
 //! connections from running.
 
+mod write_timeout;
 mod yielding;
 
+pub use write_timeout::WriteTimeout;
 pub use yielding::{MAX_READY_BYTES, MAX_READY_CALLS, Yielding};
--- a/crates/node/src/transport.rs
+++ b/crates/node/src/transport.rs
@@ -9,7 +9,7 @@
 
 use futures_lite::{AsyncRead, AsyncWrite, FutureExt};
 use ibiscove_http::ChunkHeadWatch;
-use ibiscove_io::Yielding;
+use ibiscove_io::{WriteTimeout, Yielding};
 use smol::Timer;
 use std::io;
 use std::net::SocketAddr;
@@ -93,15 +93,13 @@
 /// The byte stream of one connection.
 #[derive(Debug)]
 pub(crate) struct Transport {
-    stream: Yielding<TcpStream>,
+    stream: Yielding<WriteTimeout<TcpStream>>,
     stage: Arc<SharedStage>,
     limits: ConnectionLimits,
     /// Timer of the idle and head timeouts.
     read_timer: Timer,
     /// Number of the head that `read_timer` is set for.
     timed_head: u32,
-    /// Timer of the write timeout; set while the caller reads nothing.
-    write_timer: Option<Timer>,
     chunk_heads: ChunkHeadWatch,
     /// Bytes that were read behind the request that is being handled.
     read_ahead: usize,
@@ -114,12 +112,11 @@
         limits: ConnectionLimits,
     ) -> Self {
         Self {
-            stream: Yielding::new(stream),
+            stream: Yielding::new(WriteTimeout::new(stream, limits.write_timeout)),
             stage,
             read_timer: Timer::after(limits.idle_timeout),
             limits,
             timed_head: 0,
-            write_timer: None,
             chunk_heads: ChunkHeadWatch::default(),
             read_ahead: 0,
         }
@@ -164,23 +161,6 @@
             Poll::Pending => read,
         }
     }
-
-    /// Returns the result of a write, or fails it if nothing was accepted
-    /// within the timeout.
-    fn apply_write_timeout<T>(
-        &mut self,
-        cx: &mut Context<'_>,
-        written: Poll<io::Result<T>>,
-    ) -> Poll<io::Result<T>> {
-        if written.is_ready() {
-            self.write_timer = None;
-            return written;
-        }
-        let limit = self.limits.write_timeout;
-        let timer = self.write_timer.get_or_insert_with(|| Timer::after(limit));
-        ready!(timer.poll(cx));
-        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
-    }
 }
 
 impl AsyncRead for Transport {
@@ -205,13 +185,11 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.apply_write_timeout(cx, written)
+        Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let flushed = Pin::new(&mut self.stream).poll_flush(cx);
-        self.apply_write_timeout(cx, flushed)
+        Pin::new(&mut self.stream).poll_flush(cx)
     }
 
     fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -221,6 +199,6 @@
 
 impl trillium_http::transport::Transport for Transport {
     fn peer_addr(&self) -> io::Result<Option<SocketAddr>> {
-        self.stream.get_ref().peer_addr().map(Some)
+        self.stream.get_ref().get_ref().peer_addr().map(Some)
     }
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -24,7 +24,7 @@
 use bytes::Bytes;
 use event_listener::Event;
 use ibiscove_http::body::BodyBudget;
-use ibiscove_http::{Pool, PoolSettings, Server, ServerSettings};
+use ibiscove_http::{Pool, PoolSettings, Server, ServerSettings, socket};
 use ibiscove_mesh::directory::Introductions;
 use ibiscove_mesh::evacuations::EvacuationNews;
 use ibiscove_mesh::heartbeat::News;
@@ -163,6 +163,7 @@
         );
         let peer_pool = Pool::new(PoolSettings {
             max_idle: settings.entry.max_idle,
+            unacknowledged_timeout: Some(socket::USER_TIMEOUT),
             ..PoolSettings::default()
         });
         let body_budget = BodyBudget::new(settings.max_body_memory);
