A process uses no upstream before it has read its withdrawals

A heartbeat from before arrives late, and 3.8 s after the acknowledgement (2 s are allowed) requests reach the endpoint.

Cause: a process used announcements before it had read the row of withdrawals, lest a start beside an absent store serve nobody. Nothing in an announcement shows that it is late.

--- a/crates/proxy/src/local_upstream.rs
+++ b/crates/proxy/src/local_upstream.rs
@@ -114,6 +114,8 @@
     /// up to these are late and ignored.
     ended: Option<(UpstreamIncarnation, u64)>,
     last_response: Option<Instant>,
+    /// Whether withdrawals that an earlier process has acknowledged are yet to be read.
+    awaits_withdrawals: bool,
 }
 
 impl State {
@@ -164,14 +166,24 @@
         }
     }
 
+    /// Keeps upstreams out of use until [`LocalUpstream::adopt_withdrawals`]: one that
+    /// announces itself before may have withdrawn at an earlier process of this node, and
+    /// a late announcement of it looks like any other.
+    pub fn await_withdrawals(&self) {
+        self.lock().awaits_withdrawals = true;
+    }
+
     /// Returns the address at which the upstream accepts requests.
     pub fn addr(&self) -> SocketAddr {
         self.inner.addr
     }
 
-    /// Returns the upstream's state; none when no upstream is known to run.
+    /// Returns the upstream's state; none when no upstream is known to run, or none may
+    /// be used yet.
     pub fn current(&self) -> Option<ObservedUpstream> {
-        self.lock().current.clone()
+        let state = self.lock();
+        let usable = state.current.as_ref().filter(|_| !state.awaits_withdrawals);
+        usable.cloned()
     }
 
     /// Applies an announcement if it is newer than the observed state.
@@ -264,12 +276,12 @@
     }
 
     /// Applies the withdrawals that an earlier process of this node has stored.
-    /// Returns whether the upstream begins to drain by this.
-    pub fn adopt_withdrawals(&self, stored: Vec<Withdrawal>) -> bool {
+    pub fn adopt_withdrawals(&self, stored: Vec<Withdrawal>) {
         self.inner.withdrawals.merge_stored(stored);
         let mut state = self.lock();
+        let was_held_back = std::mem::take(&mut state.awaits_withdrawals);
         let Some(current) = state.current.as_mut() else {
-            return false;
+            return;
         };
         let since = self
             .inner
@@ -278,12 +290,13 @@
         let begins_draining = current.draining_since.is_none() && since.is_some();
         if begins_draining {
             current.draining_since = since;
-            let upstream = Arc::clone(&current.announcement.incarnation.id);
-            drop(state);
-            log::info!(upstream = &*upstream; "the upstream had left before this process started");
+            log::info!(upstream = &*current.announcement.incarnation.id;
+                "the upstream had left before this process started");
+        }
+        drop(state);
+        if begins_draining || was_held_back {
             self.inner.changed.notify(usize::MAX);
         }
-        begins_draining
     }
 
     /// Applies the notice in an answer of an upstream to a request that was sent at
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -149,6 +149,7 @@
             settings.addrs.upstream,
             Arc::clone(&heartbeat_due),
         );
+        local_upstream.await_withdrawals();
         let suspects = Suspects::new(clock.now(), clock.wall());
         let upstream_pool = Pool::new(PoolSettings::default());
         let response_budget = BodyBudget::new(settings.max_response_memory);
--- a/crates/router/src/stored_withdrawals.rs
+++ b/crates/router/src/stored_withdrawals.rs
@@ -1,7 +1,8 @@
 //! The row of a node with the upstreams that have withdrawn beside it, which outlives
 //! its processes.
 //!
-//! The row is read at the start of a process and written when an upstream withdraws.
+//! The row is read at the start of a process, which uses no upstream before, and written
+//! when an upstream withdraws.
 //! Each write is conditional on the version that was read: one of an earlier process
 //! that takes effect late replaces nothing.
 
@@ -91,7 +92,10 @@
             match inner.table.get(&self.withdrawals_key()).await {
                 Ok(row) => break row,
                 Err(err) => {
-                    log::warn!("withdrawals cannot be read yet: {err}");
+                    log::warn!(
+                        "withdrawals cannot be read yet, the upstream is not used \
+                        before: {err}"
+                    );
                     self.back_off_from_table().await;
                 }
             }
@@ -101,9 +105,9 @@
         let stored = parse(body)
             .into_iter()
             .map(|stored| stored.into_withdrawal(now, wall));
-        if inner.local_upstream.adopt_withdrawals(stored.collect()) {
-            self.update_range_controller();
-        }
+        inner.local_upstream.adopt_withdrawals(stored.collect());
+        inner.gate.observe_upstream();
+        self.update_range_controller();
         row.map(|row| row.version)
     }
 
--- a/crates/router/tests/withdrawals.rs
+++ b/crates/router/tests/withdrawals.rs
@@ -191,6 +191,48 @@
     });
 }
 
+/// Guards against requests to an upstream whose withdrawal an earlier process has
+/// acknowledged: the next one cannot reach the table, and a late announcement reaches it.
+#[test]
+fn withdrawal_holds_for_a_process_that_cannot_read_it_yet() {
+    smol::block_on(async {
+        let node = Node::new().await;
+        let rows = MemoryPlatform::default();
+        let (first, callers) = node.start_process(88, TableLink::to(&rows)).await;
+        announce(&first, "a", 1);
+        wait_until_served(&node.pool, callers, "/signs/1").await;
+        first.withdraw_upstream("a");
+        assert!(first.withdrawals_stored().await);
+
+        let link = TableLink::to(&rows);
+        link.is_away.store(true, Ordering::SeqCst);
+        let (second, callers) = node.start_process(89, link.clone()).await;
+        announce(&second, "a", 1);
+        node.expect_unserved(callers).await;
+        link.is_away.store(false, Ordering::SeqCst);
+        smol::Timer::after(Duration::from_millis(500)).await;
+        node.expect_unserved(callers).await;
+        announce(&second, "a", 2);
+        wait_until_served(&node.pool, callers, "/signs/1").await;
+    });
+}
+
+/// An upstream that announced itself while the table was away is used once the table is
+/// back, without another announcement.
+#[test]
+fn upstream_is_used_once_the_withdrawals_are_read() {
+    smol::block_on(async {
+        let node = Node::new().await;
+        let link = TableLink::default();
+        link.is_away.store(true, Ordering::SeqCst);
+        let (process, callers) = node.start_process(90, link.clone()).await;
+        announce(&process, "a", 1);
+        node.expect_unserved(callers).await;
+        link.is_away.store(false, Ordering::SeqCst);
+        wait_until_served(&node.pool, callers, "/signs/1").await;
+    });
+}
+
 /// Guards against a withdrawal that is replaced by the row of an earlier process, whose
 /// write takes effect late.
 #[test]
