A withdrawal from before a full row is read is not forgotten

The row of withdrawals keeps eight. One that came before the row had been read was recorded first and the stored ones behind it, so that of a full row it was the one to be evicted; it was then acknowledged and forgotten.

The stored ones are recorded first now, and the row loses its oldest.

Measured: withdrawal_displaces_the_oldest_of_a_full_row_that_is_read_after_it fails without the change and passes with it.

--- a/crates/proxy/src/withdrawals.rs
+++ b/crates/proxy/src/withdrawals.rs
@@ -112,7 +112,9 @@
             stored.iter().any(known)
         };
         let is_complete = state.entries.iter().all(is_known);
-        for withdrawal in stored {
+        // Those of this process are newer, so that a full row loses the oldest.
+        let own = std::mem::take(&mut state.entries);
+        for withdrawal in stored.into_iter().chain(own) {
             state.record(withdrawal);
         }
         match is_complete {
--- a/crates/proxy/tests/local_upstream.rs
+++ b/crates/proxy/tests/local_upstream.rs
@@ -5,7 +5,7 @@
 use ibiscove_proxy::local_upstream::{
     Announcement, AnnouncementEffect, LocalUpstream, LocalUpstreamSettings,
 };
-use ibiscove_proxy::withdrawals::MAX_WITHDRAWALS;
+use ibiscove_proxy::withdrawals::{MAX_WITHDRAWALS, Withdrawal};
 use ibiscove_types::UpstreamIncarnation;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
@@ -120,6 +120,33 @@
     assert!(current.draining_since.is_some());
 }
 
+/// Guards against a withdrawal that is acknowledged and then forgotten: it came before the
+/// row of the earlier ones was read, and that was full.
+#[test]
+fn withdrawal_displaces_the_oldest_of_a_full_row_that_is_read_after_it() {
+    let now = Instant::now();
+    let upstream = new_upstream();
+    upstream.await_withdrawals();
+    upstream.apply_announcement(announcement("own", 10, 1, false), now);
+    assert!(upstream.current().is_none());
+    upstream.withdraw("own", now, SystemTime::now());
+    let stored = (0..MAX_WITHDRAWALS).map(|n| Withdrawal {
+        id: format!("earlier-{n}").into(),
+        born_until_ms: 1,
+        since: now,
+    });
+    upstream.adopt_withdrawals(stored.collect());
+    let current = upstream.current().expect("the row has been read");
+    assert!(current.draining_since.is_some());
+    let (_, unstored) = upstream.withdrawals().unstored().expect("one is new");
+    let ids: Vec<&str> = unstored.iter().map(|entry| &*entry.id).collect();
+    assert_eq!(ids.len(), MAX_WITHDRAWALS);
+    assert!(
+        ids.contains(&"own") && !ids.contains(&"earlier-0"),
+        "{ids:?}"
+    );
+}
+
 #[test]
 fn missing_announcements_are_tolerated_while_the_upstream_responds() {
     let (upstream, now) = (new_upstream(), Instant::now());
