The rest of an answer has its request's deadline

Cause: a request's timeout ended with the first 256 KiB of its answer.

Change: the rest of a body has the request's deadline, at the gate and at the entry.

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -4,11 +4,13 @@
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use ibiscove_io::{DeadlinePassed, LateSource};
 use std::collections::VecDeque;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
+use std::time::Instant;
 
 /// An outgoing body: bytes already read, then optionally the rest of a body that is
 /// still being received, with a guard that is dropped at its end.
@@ -16,7 +18,25 @@
     read: VecDeque<Bytes>,
     /// Dropped once the bytes already read have been passed on.
     reservation: Option<BodyReservation>,
-    rest: Option<(Incoming, G)>,
+    rest: Option<Rest<G>>,
+}
+
+/// The rest of a body that is still being received.
+struct Rest<G> {
+    body: Incoming,
+    deadline: LateSource,
+    _guard: G,
+}
+
+/// Why an outgoing body broke off.
+#[derive(Debug, thiserror::Error)]
+pub enum BodyError {
+    /// The connection that it is received from failed.
+    #[error(transparent)]
+    Broken(#[from] hyper::Error),
+    /// The rest came too late, or had no end.
+    #[error(transparent)]
+    Late(#[from] DeadlinePassed),
 }
 
 impl<G> Body<G> {
@@ -40,29 +60,34 @@
     }
 
     /// Returns a body of bytes already read, with the memory that they use, and the
-    /// rest that follows them. The guard is dropped once the rest has been read to its
-    /// end.
+    /// rest that follows them, which is to come before `deadline`. The guard is dropped
+    /// once the rest has been read to its end.
     pub fn relayed(
         read: ReadBytes,
         reservation: BodyReservation,
         rest: Option<(Incoming, G)>,
+        deadline: Instant,
     ) -> Self {
         Self {
             read: read.into_blocks(),
             reservation: Some(reservation),
-            rest,
+            rest: rest.map(|(body, guard)| Rest {
+                body,
+                deadline: LateSource::new(deadline),
+                _guard: guard,
+            }),
         }
     }
 }
 
 impl<G: Unpin> HttpBody for Body<G> {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = BodyError;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let this = self.get_mut();
         if let Some(block) = this.read.pop_front() {
             if this.read.is_empty() {
@@ -70,14 +95,21 @@
             }
             return Poll::Ready(Some(Ok(Frame::data(block))));
         }
-        let Some((rest, _)) = &mut this.rest else {
+        let Some(rest) = &mut this.rest else {
             return Poll::Ready(None);
         };
-        let frame = Pin::new(rest).poll_frame(cx);
-        if matches!(frame, Poll::Ready(None)) {
+        let polled = Pin::new(&mut rest.body).poll_frame(cx);
+        let frame = match ready!(rest.deadline.apply(cx, polled, data_len)) {
+            Ok(frame) => frame,
+            Err(err) => {
+                metrics::counter!("ibiscove_late_bodies_total").increment(1);
+                return Poll::Ready(Some(Err(err.into())));
+            }
+        };
+        if frame.is_none() {
             this.rest = None;
         }
-        frame
+        Poll::Ready(frame.map(|frame| Ok(frame?)))
     }
 
     fn is_end_stream(&self) -> bool {
@@ -88,8 +120,8 @@
         let read: usize = self.read.iter().map(Bytes::len).sum();
         let read = read as u64;
         let mut hint = SizeHint::with_exact(read);
-        if let Some((rest, _)) = &self.rest {
-            let rest = rest.size_hint();
+        if let Some(rest) = &self.rest {
+            let rest = rest.body.size_hint();
             match rest.exact() {
                 Some(rest) => hint.set_exact(read + rest),
                 None => {
@@ -102,6 +134,14 @@
     }
 }
 
+/// Returns the bytes of a body's next frame.
+fn data_len(frame: &Option<Result<Frame<Bytes>, hyper::Error>>) -> usize {
+    let data = frame
+        .as_ref()
+        .and_then(|frame| frame.as_ref().ok()?.data_ref());
+    data.map_or(0, Bytes::len)
+}
+
 /// Why a body could not be read into memory.
 #[derive(Debug, thiserror::Error)]
 pub enum ReadError {
--- a/crates/proxy/src/entry/attempt.rs
+++ b/crates/proxy/src/entry/attempt.rs
@@ -228,6 +228,7 @@
         deps.suspects
             .merge_header(exchange.response.headers(), &target.node, deps.clock.now());
         let refusal = Refusal::from_response(&exchange.response);
+        let (budget, deadline) = (&deps.response_budget, plan.metadata.deadline);
         self.inner.notices.record(
             &target.node,
             exchange.response.headers(),
@@ -236,14 +237,14 @@
         );
         if let Some(refusal) = refusal {
             // Reading the body to its end makes the connection reusable.
-            drop(read_response::<()>(exchange, None, &deps.response_budget).await);
+            drop(read_response::<()>(exchange, None, budget, deadline).await);
             return Err(refusal);
         }
         let is_from_gate = exchange.response.headers().contains_key(OUTCOME);
         if !is_from_gate {
             return Err(Refusal::unknown(Reason::PeerLost));
         }
-        let read = read_response(exchange, None, &deps.response_budget).await;
+        let read = read_response(exchange, None, budget, deadline).await;
         let mut response = read.map_err(|err| {
             log::info!(request = &*plan.metadata.request_id, peer = &*target.node;
                 "a peer's answer broke off; the outcome of the request is unknown: {err}");
--- a/crates/proxy/src/gate/exchange.rs
+++ b/crates/proxy/src/gate/exchange.rs
@@ -100,7 +100,8 @@
                 "an answer of the upstream is not that of its request");
             return Err(Refusal::unknown(Reason::UpstreamLost));
         }
-        let read = read_response(exchange, Some(permit), &self.inner.response_budget).await;
+        let budget = &self.inner.response_budget;
+        let read = read_response(exchange, Some(permit), budget, metadata.deadline).await;
         let mut response = read.map_err(|err| {
             log::info!(request = &*metadata.request_id; "the upstream's answer broke off: {err}");
             Refusal::unknown(Reason::UpstreamLost)
--- a/crates/proxy/src/gate/slow_start.rs
+++ b/crates/proxy/src/gate/slow_start.rs
@@ -207,7 +207,8 @@
             let id = headers::text(from, &inner.names.upstream_id);
             let cold = headers::text(from, &inner.names.cold_ms).map(parse_cold);
             let is_own = exchange.response.status().is_success() && id == Some(&*incarnation.id);
-            drop(read_response::<()>(exchange, None, &inner.response_budget).await);
+            let deadline = inner.clock.now() + CHECK_TIMEOUT;
+            drop(read_response::<()>(exchange, None, &inner.response_budget, deadline).await);
             cold.filter(|_| is_own)
         };
         let timeout = async {
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -5,6 +5,7 @@
 use ibiscove_http::body::{BodyBudget, ReadBytes, read_ahead};
 use ibiscove_http::client::PooledConnection;
 use ibiscove_http::{Body, Exchange};
+use std::time::Instant;
 
 /// Bytes of a response that are read before it is relayed. Most responses fit,
 /// so a truncated one can be retried.
@@ -29,12 +30,13 @@
 }
 
 /// Reads a response's body, or its beginning when it is long or the budget of all
-/// responses has no room for it. If this reads it to its end, the connection is reused
+/// responses has no room for it; the rest is to come before `deadline`. If this reads it to its end, the connection is reused
 /// and the permit released.
 pub async fn read_response<P>(
     exchange: Exchange,
     permit: Option<P>,
     budget: &BodyBudget,
+    deadline: Instant,
 ) -> Result<RelayedResponse<P>, hyper::Error> {
     let Exchange {
         response,
@@ -58,6 +60,6 @@
             Some((body, guard))
         }
     };
-    let body = Body::relayed(read, reservation, rest);
+    let body = Body::relayed(read, reservation, rest, deadline);
     Ok(Response::from_parts(head, body))
 }
--- a/crates/proxy/tests/endless_answers.rs
+++ b/crates/proxy/tests/endless_answers.rs
@@ -135,8 +135,101 @@
         smol::spawn(async move {
             let req = Request::new(Body::whole(""));
             let sent = pool.send(addr, req, Duration::from_secs(1)).await;
-            read_response::<()>(sent.ok()?, None, &budget).await.ok()
+            let deadline = Instant::now() + Duration::from_secs(60);
+            let read = read_response::<()>(sent.ok()?, None, &budget, deadline);
+            read.await.ok()
         })
     };
     (0..count).map(request).collect()
 }
+
+/// Time that a request of the tests below has.
+const TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Answers a request with a body of `len` bytes, then `unit` after each `pause`, or
+/// nothing more if there is no unit.
+async fn serve_paced(len: usize, unit: usize, pause: Duration) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let addr = listener.local_addr().expect("a bound address");
+    smol::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("the client connects");
+        let _ = stream.read(&mut [0; 1_024]).await;
+        let head = b"HTTP/1.1 200 OK\r\n\r\n";
+        let mut written = stream.write_all(&[head, &*vec![b'a'; len]].concat()).await;
+        while written.is_ok() {
+            smol::Timer::after(pause).await;
+            written = stream.write_all(&vec![b'a'; unit]).await;
+        }
+    })
+    .detach();
+    addr
+}
+
+/// Sends a request that has [`TIMEOUT`], and reads the beginning of its answer.
+async fn request_with_timeout(addr: SocketAddr, started: Instant) -> RelayedResponse<()> {
+    let pool = Pool::new(PoolSettings::default());
+    let budget = BodyBudget::new(RESPONSE_MEMORY);
+    let req = Request::new(Body::whole(""));
+    let sent = pool.send(addr, req, Duration::from_secs(1)).await;
+    let exchange = sent.expect("the server answers");
+    let response = read_response(exchange, None, &budget, started + TIMEOUT).await;
+    response.expect("the beginning comes at once")
+}
+
+/// Guards against an answer that is passed on long after its request's deadline, because
+/// it has no end or its rest does not come.
+#[parameterized(
+    as_fast_as_it_is_read = { 300 << 10, 64 << 10, Duration::ZERO },
+    steady = { 300 << 10, 8 << 10, Duration::from_millis(10) },
+    slow = { 300 << 10, 1, Duration::from_millis(60) },
+    stopped = { 300 << 10, 0, Duration::from_secs(30) },
+)]
+fn answer_that_is_incomplete_at_its_deadline_breaks_off(len: usize, unit: usize, pause: Duration) {
+    let _measured = MEASURED.lock().unwrap_or_else(PoisonError::into_inner);
+    smol::block_on(async {
+        let addr = serve_paced(len, unit, pause).await;
+        let started = Instant::now();
+        let mut body = request_with_timeout(addr, started).await.into_body();
+        let mut is_broken = false;
+        while let Some(frame) = body.frame().await {
+            is_broken = frame.is_err();
+            if is_broken || started.elapsed() > 4 * TIMEOUT {
+                break;
+            }
+        }
+        assert!(is_broken, "the answer goes on");
+        let took = started.elapsed();
+        let allowed = TIMEOUT..TIMEOUT + Duration::from_millis(500);
+        assert!(allowed.contains(&took), "broken off after {took:?}");
+    });
+}
+
+/// An answer that came in time is passed on whole, however late its receiver reads.
+#[test]
+fn answer_that_was_sent_before_its_deadline_is_passed_on_after_it() {
+    const LEN: usize = 900 << 10;
+    let _measured = MEASURED.lock().unwrap_or_else(PoisonError::into_inner);
+    smol::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let addr = listener.local_addr().expect("a bound address");
+        let server = smol::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("the client connects");
+            let _ = stream.read(&mut [0; 1_024]).await;
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {LEN}\r\n\r\n");
+            let answer = [head.as_bytes(), &vec![b'a'; LEN]].concat();
+            stream.write_all(&answer).await.expect("it is read");
+            stream
+        });
+        let started = Instant::now();
+        let mut body = request_with_timeout(addr, started).await.into_body();
+        smol::Timer::after(2 * TIMEOUT).await;
+        let mut read = 0;
+        while let Some(frame) = body.frame().await {
+            let data = frame.expect("the answer is whole").into_data();
+            read += data.map_or(0, |data| data.len());
+            smol::Timer::after(Duration::from_millis(20)).await;
+        }
+        assert_eq!(read, LEN);
+        drop(server.await);
+    });
+}
