A newer configuration is fetched beside a slow peer

Cause: a node asked one peer at a time for a newer version and gave each 0.8 s.

Change: after 250 ms an item is fetched from another peer too, two at a time at the most. Range maps are fetched in the same way.

--- a/crates/router/src/catch_up.rs
+++ b/crates/router/src/catch_up.rs
@@ -8,9 +8,10 @@
 use ibiscove_ranges::Grantee;
 use ibiscove_store::Table;
 use ibiscove_types::{BootClock, Clock, ServiceName};
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
+use std::collections::btree_map::Entry;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Time that a node which follows the source of the configuration waits for a
 /// newer one from there before it is fetched from the peer that has it.
@@ -34,7 +35,7 @@
             &member.name,
             now,
         );
-        self.compare_suspects(member, content.crashes_digest);
+        self.compare_suspects(member, content.crashes_digest, now);
         if is_new {
             // The new member may not know this node yet.
             self.inner.heartbeat_due.notify(usize::MAX);
@@ -43,14 +44,14 @@
             controller.observe_lease(member);
         }
         if member.config_version > self.inner.config.version()
-            && let Some(guard) = self.inner.active_fetches.begin(CONFIG_FETCH_NAME)
+            && let Some(guard) = self.inner.active_fetches.begin(CONFIG_FETCH_NAME, now)
         {
             let fetch = self.clone().fetch_config(member.clone(), guard);
             smol::spawn(fetch).detach();
         }
         for (service, epoch) in &member.maps {
             if *epoch > self.inner.maps.epoch(service)
-                && let Some(guard) = self.inner.active_fetches.begin(service)
+                && let Some(guard) = self.inner.active_fetches.begin(service, now)
             {
                 let fetch = self
                     .clone()
@@ -62,11 +63,11 @@
 
     /// Fetches what a member knows of crashes if that differs from what this node
     /// knows.
-    fn compare_suspects(&self, member: &Member, digest: u64) {
+    fn compare_suspects(&self, member: &Member, digest: u64, now: Instant) {
         let suspects = &self.inner.suspects;
         if digest != 0
             && digest != suspects.digest()
-            && let Some(guard) = self.inner.active_fetches.begin(SUSPECTS_FETCH_NAME)
+            && let Some(guard) = self.inner.active_fetches.begin(SUSPECTS_FETCH_NAME, now)
         {
             let fetch = self.clone().fetch_suspects(member.clone(), digest, guard);
             smol::spawn(fetch).detach();
@@ -148,10 +149,22 @@
 /// Identifies what is known of crashes among them.
 const SUSPECTS_FETCH_NAME: &str = "/suspects";
 
-/// The active fetches by what they fetch, so that each is made only once. The
+/// Time after which an item is fetched from another peer, too: a slow one must not keep
+/// a newer version from this node until the fetch times out.
+const HEDGE_DELAY: Duration = Duration::from_millis(250);
+/// Most fetches of an item at a time.
+const MAX_FETCHES: usize = 2;
+
+/// The active fetches by what they fetch, so that few are made at a time. The
 /// heartbeats of all nodes announce a newer version while it is being fetched.
 #[derive(Clone, Default)]
-pub(crate) struct ActiveFetches(Arc<Mutex<BTreeSet<String>>>);
+pub(crate) struct ActiveFetches(Arc<Mutex<BTreeMap<String, FetchesOfItem>>>);
+
+/// The active fetches of one item.
+struct FetchesOfItem {
+    count: usize,
+    last_began: Instant,
+}
 
 /// An active fetch. Dropping it allows the next one of the same item.
 struct FetchGuard {
@@ -160,21 +173,47 @@
 }
 
 impl ActiveFetches {
-    /// Begins a fetch unless one of the same item is active.
-    fn begin(&self, item: &str) -> Option<FetchGuard> {
-        self.lock().insert(item.to_owned()).then(|| FetchGuard {
+    /// Begins a fetch unless one of the same item is active that has just begun, or too
+    /// many are.
+    fn begin(&self, item: &str, now: Instant) -> Option<FetchGuard> {
+        match self.lock().entry(item.to_owned()) {
+            Entry::Vacant(vacant) => {
+                vacant.insert(FetchesOfItem {
+                    count: 1,
+                    last_began: now,
+                });
+            }
+            Entry::Occupied(mut occupied) => {
+                let fetches = occupied.get_mut();
+                let has_just_begun =
+                    now.saturating_duration_since(fetches.last_began) < HEDGE_DELAY;
+                if has_just_begun || fetches.count >= MAX_FETCHES {
+                    return None;
+                }
+                fetches.count += 1;
+                fetches.last_began = now;
+            }
+        }
+        Some(FetchGuard {
             active: self.clone(),
             item: item.to_owned(),
         })
     }
 
-    fn lock(&self) -> MutexGuard<'_, BTreeSet<String>> {
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<String, FetchesOfItem>> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl Drop for FetchGuard {
     fn drop(&mut self) {
-        self.active.lock().remove(&self.item);
+        let mut active = self.active.lock();
+        let Some(fetches) = active.get_mut(&self.item) else {
+            return;
+        };
+        fetches.count -= 1;
+        if fetches.count == 0 {
+            active.remove(&self.item);
+        }
     }
 }
