--- a/crates/chunks/src/text.rs
+++ b/crates/chunks/src/text.rs
@@ -50,7 +50,7 @@
 }
 
 fn deflate(content: &[u8]) -> Bytes {
-    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::default());
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
     let written = encoder.write_all(content).and_then(|()| encoder.finish());
     written.expect("memory takes all bytes").into()
 }
--- a/crates/chunks/tests/chunks.rs
+++ b/crates/chunks/tests/chunks.rs
@@ -100,7 +100,7 @@
 fn damaged_chunks_are_refused() {
     let holder = ChunkedText::new(2, &text(&configuration(100)));
     let mut assembly = Assembly::new(holder.manifest().clone(), None);
-    let other = ChunkedText::new(2, &text(&configuration(50)[20..].to_vec()));
+    let other = ChunkedText::new(2, &text(&configuration(50)[20..]));
     let foreign = other.compressed(0).expect("it has a chunk");
     assert!(matches!(
         assembly.insert(0, &foreign),
