Say how far a node's configuration is behind, and where a request was refused

Cause: a node that lacks a newer configuration said so nowhere, so its 404 could not be told from a true one. Refusals with one reason from several places shared a log line and a counter, a verdict of another node looked like this node's own, and what hyper answers itself (400, 431) was neither logged nor counted.

Change, without any of logic: ConfigLag keeps the versions that heartbeats name and since when; three gauges, a counter of failed fetches by cause, one line when a node falls behind and one when it has caught up. A refusal has its place, which travels between nodes in a header of its own; the refused line has newest_config, behind_ms, place and refused_by. The server counts and logs requests that hyper cannot read.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -41,6 +41,8 @@
 /// Limits on request heads and on the time that a client may take.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerSettings {
+    /// Who connects to the server: a label of its log lines and metrics.
+    pub clients: &'static str,
     /// Largest request head, in bytes. HTTP libraries commonly allow 8 to 64
     /// KiB.
     pub max_head_bytes: usize,
@@ -57,6 +59,7 @@
 impl Default for ServerSettings {
     fn default() -> Self {
         Self {
+            clients: "others",
             max_head_bytes: 64 << 10,
             head_timeout: Duration::from_secs(75),
             write_timeout: Duration::from_secs(30),
@@ -334,7 +337,7 @@
     let mut connection = std::pin::pin!(connection);
     if !own.shared.is_draining.load(Ordering::Acquire) {
         let ended = async {
-            let _ = connection.as_mut().await;
+            record_end(connection.as_mut().await, settings.clients);
             true
         };
         let draining = async {
@@ -350,9 +353,26 @@
     if !own.queue.has_early() {
         connection.as_mut().graceful_shutdown();
     }
-    // Errors here are caused by the client: it closed the connection or sent a malformed
-    // request.
-    let _ = connection.await;
+    record_end(connection.await, settings.clients);
+}
+
+/// Records that hyper could not read a request, which it then answers itself: no handler
+/// has seen it. Other errors mean that the client closed the connection.
+fn record_end(ended: hyper::Result<()>, clients: &'static str) {
+    let Err(err) = ended else {
+        return;
+    };
+    if !err.is_parse() {
+        return;
+    }
+    let kind = match err.is_parse_too_large() {
+        true => "too-large",
+        false => "malformed",
+    };
+    metrics::counter!("ibiscove_unreadable_requests_total", "clients" => clients, "kind" => kind)
+        .increment(1);
+    log::info!(clients = clients, kind = kind;
+        "a request cannot be read, its connection is closed: {err}");
 }
 
 /// Discards what a client still sends on a connection that this side has closed, for a
--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -5,10 +5,11 @@
 mod plan;
 mod shared_state;
 
+use crate::config_lag::ConfigLag;
 use crate::gate::{Gate, KeyOwnership, Permit};
 use crate::headers::{self, HeaderNames};
 use crate::local_upstream::LocalUpstream;
-use crate::refusal::Refusal;
+use crate::refusal::{Place, Refusal};
 use crate::relay::{RelayedResponse, has_room_for_early_responses};
 use crate::routes::ConfigCell;
 use crate::suspects::Suspects;
@@ -93,6 +94,8 @@
     pub clock: C,
     /// The configuration in force.
     pub config: ConfigCell,
+    /// How far that is behind.
+    pub config_lag: ConfigLag,
     /// The other nodes.
     pub members: Members,
     /// Owners of keys.
@@ -207,17 +210,20 @@
     {
         let arrived = self.deps().clock.now();
         let (head, body) = req.into_parts();
-        let result = match self.plan(&head, arrived) {
+        let mut attempts = Attempts::default();
+        let planned = self.plan(&head, arrived);
+        let result = match planned {
             Ok(plan) => {
                 let (id, route) = (
                     Arc::clone(&plan.metadata.request_id),
                     Arc::clone(&plan.route),
                 );
-                let result = self.read_and_serve(plan, body).await;
+                let result = self.read_and_serve(plan, body, &mut attempts).await;
                 result.map_err(|refusal| (refusal, id, Some(route)))
             }
             Err(refusal) => {
                 let id = headers::text(&head.headers, &self.deps().names.request_id);
+                let refusal = refusal.at(Place::EntryPlan);
                 Err((refusal, id.unwrap_or_default().into(), None))
             }
         };
@@ -230,10 +236,18 @@
             }
             Err((refusal, id, route)) => {
                 refusal.count(ROLE);
+                let in_force = self.deps().config.version();
+                let lag = self
+                    .deps()
+                    .config_lag
+                    .lag(in_force, self.deps().clock.now());
+                let by = attempts.nodes.last().filter(|_| refusal.is_remote);
                 log::info!(
                     request = &*id, route = route.as_ref().map_or("", |route| &*route.name),
-                    config = self.deps().config.version(), reason = refusal.reason.as_str(),
-                    outcome = refusal.outcome.as_str(), status = refusal.status(),
+                    config = in_force, newest_config = lag.map_or(in_force, |lag| lag.newest),
+                    behind_ms = lag.map_or(0, |lag| lag.behind.as_millis() as u64),
+                    reason = refusal.reason.as_str(), place = refusal.place_name(),
+                    refused_by = by.map_or("", |node| &**node), outcome = refusal.outcome.as_str(), status = refusal.status(),
                     took_ms = took.as_millis() as u64,
                     retry_after_ms = refusal.retry_after.as_millis() as u64;
                     "request refused"
@@ -252,11 +266,13 @@
         &self,
         mut plan: RequestPlan,
         body: impl HttpBody<Data = Bytes, Error = hyper::Error> + Unpin,
+        attempts: &mut Attempts,
     ) -> Result<RelayedResponse<Permit<K, C>>, Refusal> {
         let reading = self.read_body(body, plan.max_body_bytes, plan.metadata.deadline);
-        let (body, _reservation) = reading.await?;
+        let read = reading.await;
+        let (body, _reservation) = read.map_err(|refusal| refusal.at(Place::EntryBody))?;
         plan.set_body(body);
-        self.serve_with_retries(plan).await
+        self.serve_with_retries(plan, attempts).await
     }
 
     async fn read_body(
@@ -281,27 +297,27 @@
     async fn serve_with_retries(
         &self,
         mut plan: RequestPlan,
+        attempts: &mut Attempts,
     ) -> Result<RelayedResponse<Permit<K, C>>, Refusal> {
-        let mut attempts = Attempts::default();
         let mut rng = fastrand::Rng::new();
         self.deposit_retries(&plan);
         loop {
-            let refusal = match self.attempt(&mut plan, &mut attempts, &mut rng).await {
+            let refusal = match self.attempt(&mut plan, attempts, &mut rng).await {
                 Ok(response) => {
                     if let Some(fence) = attempts.fence {
                         self.inner.unserved.clear(&plan.metadata.service, fence);
                     }
                     return Ok(response);
                 }
-                Err(refusal) => refusal,
+                Err(refusal) => refusal.at(Place::EntryAttempt),
             };
             attempts.count += 1;
             if refusal.outcome != Outcome::NotRun {
                 attempts.possibly_executed += 1;
             }
-            self.record_unserved_range(&plan, &refusal, &attempts);
-            let next = self.decide_retry(&plan, &refusal, &attempts, &mut rng);
-            self.log_attempt(&plan, &refusal, &attempts, next);
+            self.record_unserved_range(&plan, &refusal, attempts);
+            let next = self.decide_retry(&plan, &refusal, attempts, &mut rng);
+            self.log_attempt(&plan, &refusal, attempts, next);
             match next {
                 RetryDecision::Retry { delay, charged }
                     if !charged || self.inner.retry_budgets.try_spend(&plan.metadata.service) =>
@@ -311,9 +327,9 @@
                 }
                 RetryDecision::Retry { .. } => {
                     count_retry(Reason::RetryBudget);
-                    return Err(self.final_refusal(&plan, refusal, &attempts));
+                    return Err(self.final_refusal(&plan, refusal, attempts));
                 }
-                RetryDecision::Stop => return Err(self.final_refusal(&plan, refusal, &attempts)),
+                RetryDecision::Stop => return Err(self.final_refusal(&plan, refusal, attempts)),
             }
         }
     }
@@ -401,7 +417,8 @@
         log::info!(
             request = &*plan.metadata.request_id, service = &*plan.metadata.service,
             peer = attempts.nodes.last().map_or("", |node| &**node), attempt = attempts.count,
-            reason = refusal.reason.as_str(), outcome = refusal.outcome.as_str(),
+            reason = refusal.reason.as_str(), place = refusal.place_name(),
+            is_remote = refusal.is_remote, outcome = refusal.outcome.as_str(),
             fence = attempts.fence.unwrap_or_default(),
             again = next != RetryDecision::Stop, left_ms = remaining.as_millis() as u64;
             "attempt failed"
--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -20,7 +20,7 @@
 use crate::forward::RequestMetadata;
 use crate::headers::HeaderNames;
 use crate::local_upstream::{LocalUpstream, ObservedUpstream};
-use crate::refusal::Refusal;
+use crate::refusal::{Place, Refusal};
 use crate::relay::RelayedResponse;
 use crate::suspects::{self, Suspects};
 use crate::upstream_notice::NoticeReport;
@@ -393,13 +393,14 @@
         outbound: &OutboundRequest,
     ) -> Result<RelayedResponse<Permit<K, C>>, Refusal> {
         let result = self.try_run(metadata, outbound).await;
+        let result = result.map_err(|refusal| refusal.at(Place::GateExchange));
         if let Err(refusal) = &result {
             refusal.count(ROLE);
             let key = metadata.key.map(|key| key.to_string()).unwrap_or_default();
             log::info!(
                 request = &*metadata.request_id, route = &*metadata.route, key = &*key,
                 entry = &*metadata.entry_node, reason = refusal.reason.as_str(),
-                outcome = refusal.outcome.as_str(), load = self.inner.admission().load(),
+                place = refusal.place_name(), outcome = refusal.outcome.as_str(), load = self.inner.admission().load(),
                 left_ms = self.remaining(metadata).as_millis() as u64;
                 "gate refused"
             );
@@ -415,15 +416,18 @@
         if let Some(report) = &metadata.upstream_notice {
             self.adopt_report(report);
         }
-        let upstream = self.check_admission(metadata).map_err(Refusal::not_run)?;
-        let _turn = self.take_turn(metadata).await?;
-        let permit = self.acquire_permit(metadata, &upstream).await?;
+        let not_admitted = |reason| Refusal::not_run(reason).at(Place::GateAdmission);
+        let in_queue = |refusal: Refusal| refusal.at(Place::GateQueue);
+        let upstream = self.check_admission(metadata).map_err(not_admitted)?;
+        let _turn = self.take_turn(metadata).await.map_err(in_queue)?;
+        let permit = self.acquire_permit(metadata, &upstream).await;
+        let permit = permit.map_err(in_queue)?;
         // The state may have changed while the request was queued.
-        let upstream = self.check_admission(metadata).map_err(Refusal::not_run)?;
+        let upstream = self.check_admission(metadata).map_err(not_admitted)?;
         let started = self.inner.clock.now();
         let remaining = self.remaining(metadata);
         if remaining.is_zero() {
-            return Err(Refusal::not_run(Reason::DeadlineExceeded));
+            return Err(in_queue(Refusal::not_run(Reason::DeadlineExceeded)));
         }
         let req = outbound.to_http(self.upstream_headers(metadata, outbound, &upstream, remaining));
         let max_idle = match metadata.idempotent {
--- a/crates/proxy/src/headers.rs
+++ b/crates/proxy/src/headers.rs
@@ -22,6 +22,10 @@
 /// On a refusal between nodes: milliseconds until there is free capacity.
 pub const RETRY_AFTER_MS: HeaderName = HeaderName::from_static("ibiscove-retry-after-ms");
 
+/// On a refusal between nodes: where the gate's node refused, see
+/// [`crate::refusal::Place`].
+pub const REFUSAL_PLACE: HeaderName = HeaderName::from_static("ibiscove-refusal-place");
+
 /// Names of the headers that a deployment may choose.
 #[derive(Clone, Debug)]
 pub struct HeaderNames {
@@ -94,6 +98,7 @@
         UPSTREAM_NOTICE,
         CRASH_RECORD,
         RETRY_AFTER_MS,
+        REFUSAL_PLACE,
     ] {
         headers.remove(name);
     }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -7,6 +7,7 @@
 //! there. It responds `not-run` only if the upstream certainly did not run the
 //! request. See `docs/request-path.md`.
 
+pub mod config_lag;
 pub mod entry;
 pub mod forward;
 pub mod gate;
@@ -23,6 +24,7 @@
 pub mod upstream_selection;
 pub mod withdrawals;
 
+pub use config_lag::ConfigLag;
 pub use entry::{Entry, EntrySettings};
 pub use gate::{Gate, GateSettings};
 pub use headers::HeaderNames;
--- a/crates/proxy/src/peer_api.rs
+++ b/crates/proxy/src/peer_api.rs
@@ -4,7 +4,7 @@
 use crate::forward::RequestMetadata;
 use crate::gate::{Gate, KeyOwnership, OutboundRequest, Permit};
 use crate::headers::{self, GATE_LOAD, OUTCOME};
-use crate::refusal::Refusal;
+use crate::refusal::{Place, Refusal};
 use crate::relay::RelayedResponse;
 use crate::routes::ConfigCell;
 use crate::suspects::Suspects;
@@ -86,7 +86,7 @@
                 response.headers_mut().insert(OUTCOME, ran);
                 response
             }
-            Err(refusal) => refusal.response(),
+            Err(refusal) => refusal.response_to_node(),
         };
         let load = self.gate.load();
         response
@@ -118,14 +118,14 @@
         req: Request<Incoming>,
     ) -> Result<RelayedResponse<Permit<K, C>>, Refusal> {
         let (head, body) = req.into_parts();
-        let bad_header = Refusal::not_run(Reason::BadHeader);
+        let bad_header = Refusal::not_run(Reason::BadHeader).at(Place::PeerMetadata);
         let metadata = metadata.ok_or(bad_header)?;
         let path_and_query = head.uri.path_and_query().cloned().ok_or(bad_header)?;
         let mut forwarded_headers = head.headers;
         headers::remove_hop_by_hop(&mut forwarded_headers);
         headers::remove_internode(&mut forwarded_headers);
         let read = read_within_budget(body, MAX_BODY_BYTES, &self.body_budget).await;
-        let (body, _reservation) = read.map_err(Refusal::of_body)?;
+        let (body, _reservation) = read.map_err(|err| Refusal::of_body(err).at(Place::PeerBody))?;
         let outbound = OutboundRequest {
             method: head.method,
             path_and_query,
@@ -192,6 +192,20 @@
     TimedOut,
 }
 
+impl FetchError {
+    /// Returns the kind of the error, as a label of metrics.
+    pub fn cause(&self) -> &'static str {
+        match self {
+            Self::Send(_) => "not-reached",
+            Self::Read(_) => "broken-off",
+            Self::Status(_) => "status",
+            Self::Malformed(_) => "malformed",
+            Self::InvalidServiceName(_) => "service-name",
+            Self::TimedOut => "timed-out",
+        }
+    }
+}
+
 /// Fetches the source text of a peer's configuration.
 pub async fn fetch_config(
     pool: &Pool,
--- a/crates/proxy/src/refusal.rs
+++ b/crates/proxy/src/refusal.rs
@@ -1,6 +1,6 @@
 //! Responses to requests that got no response from an upstream.
 
-use crate::headers::{self, OUTCOME, REASON, RETRY_AFTER_MS};
+use crate::headers::{self, OUTCOME, REASON, REFUSAL_PLACE, RETRY_AFTER_MS};
 use hyper::Response;
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use ibiscove_http::Body;
@@ -12,6 +12,58 @@
 /// Media type of a problem document (RFC 9457).
 const PROBLEM_JSON: HeaderValue = HeaderValue::from_static("application/problem+json");
 
+/// Where a request was refused. It tells apart the refusals that share a reason.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Place {
+    /// The entry, from the request's head.
+    EntryPlan,
+    /// The entry, while it read the body.
+    EntryBody,
+    /// The entry, in an attempt.
+    EntryAttempt,
+    /// The node of the gate, which could not read the request's metadata.
+    PeerMetadata,
+    /// The node of the gate, while it read the body.
+    PeerBody,
+    /// The gate's checks before a request may run.
+    GateAdmission,
+    /// The gate's queue.
+    GateQueue,
+    /// The gate, after it had begun to send the request to its upstream.
+    GateExchange,
+}
+
+impl Place {
+    const ALL: [Place; 8] = [
+        Place::EntryPlan,
+        Place::EntryBody,
+        Place::EntryAttempt,
+        Place::PeerMetadata,
+        Place::PeerBody,
+        Place::GateAdmission,
+        Place::GateQueue,
+        Place::GateExchange,
+    ];
+
+    /// Returns the name in logs, metrics and between nodes.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Place::EntryPlan => "entry-plan",
+            Place::EntryBody => "entry-body",
+            Place::EntryAttempt => "entry-attempt",
+            Place::PeerMetadata => "peer-metadata",
+            Place::PeerBody => "peer-body",
+            Place::GateAdmission => "gate-admission",
+            Place::GateQueue => "gate-queue",
+            Place::GateExchange => "gate-exchange",
+        }
+    }
+
+    fn parse(word: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|place| place.as_str() == word)
+    }
+}
+
 /// The result of a request that got no response from an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Refusal {
@@ -21,6 +73,10 @@
     pub reason: Reason,
     /// Time after which there is likely free capacity.
     pub retry_after: Duration,
+    /// Where it was refused; none from a node that does not tell.
+    pub place: Option<Place>,
+    /// Whether another node refused it.
+    pub is_remote: bool,
 }
 
 impl Refusal {
@@ -30,6 +86,8 @@
             outcome: Outcome::NotRun,
             reason,
             retry_after: Duration::ZERO,
+            place: None,
+            is_remote: false,
         }
     }
 
@@ -49,6 +107,20 @@
         }
     }
 
+    /// Returns the refusal with its place, unless that is known already.
+    pub fn at(self, place: Place) -> Self {
+        let is_known = self.place.is_some() || self.is_remote;
+        Self {
+            place: if is_known { self.place } else { Some(place) },
+            ..self
+        }
+    }
+
+    /// Returns the name of its place for logs and metrics.
+    pub fn place_name(&self) -> &'static str {
+        self.place.map_or("unknown", Place::as_str)
+    }
+
     /// Returns the HTTP status for callers. 503 guarantees that the request has
     /// not run and will not run; 502 and 504 guarantee nothing.
     pub fn status(&self) -> u16 {
@@ -75,7 +147,8 @@
 
     /// Counts this refusal in the metrics of a role of the node.
     pub fn count(&self, role: &'static str) {
-        refusals::counter(role, self.reason, self.outcome).increment(1);
+        let place = self.place_name();
+        refusals::counter_at(role, place, self.reason, self.outcome).increment(1);
     }
 
     /// Builds the HTTP response.
@@ -101,6 +174,14 @@
         response
     }
 
+    /// Builds the HTTP response to another node.
+    pub fn response_to_node<G>(&self) -> Response<Body<G>> {
+        let mut response = self.response();
+        let place = headers::value(self.place_name());
+        response.headers_mut().insert(REFUSAL_PLACE, place);
+        response
+    }
+
     /// Reads the refusal of another node's gate; returns none when the response
     /// is an upstream's.
     pub fn from_response<B>(response: &Response<B>) -> Option<Self> {
@@ -112,6 +193,8 @@
             outcome: outcome.unwrap_or(Outcome::Unknown),
             reason: Reason::parse(reason).unwrap_or(Reason::PeerLost),
             retry_after: Duration::from_millis(millis.unwrap_or(0)),
+            place: headers::text(from, &REFUSAL_PLACE).and_then(Place::parse),
+            is_remote: true,
         })
     }
 }
--- a/crates/router/src/catch_up.rs
+++ b/crates/router/src/catch_up.rs
@@ -43,7 +43,11 @@
         if let Some(controller) = self.inner.range_controller.get() {
             controller.observe_lease(member);
         }
-        if member.config_version > self.inner.config.version()
+        let in_force = self.inner.config.version();
+        self.inner
+            .config_lag
+            .observe(member.config_version, &member.name, in_force, now);
+        if member.config_version > in_force
             && let Some(guard) = self.inner.active_fetches.begin(CONFIG_FETCH_NAME, now)
         {
             let fetch = self.clone().fetch_config(member.clone(), guard);
@@ -113,6 +117,7 @@
                 }
             }
             Err(err) => {
+                inner.config_lag.record_failure(err.cause());
                 log::warn!(peer = &*peer.name; "a newer configuration was not fetched: {err}");
             }
         }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -36,7 +36,7 @@
 use ibiscove_proxy::suspects::Suspects;
 use ibiscove_proxy::transit::TransitBySender;
 use ibiscove_proxy::{
-    Announcement, ConfigCell, Entry, Gate, HeaderNames, LocalUpstream, RouteTable,
+    Announcement, ConfigCell, ConfigLag, Entry, Gate, HeaderNames, LocalUpstream, RouteTable,
 };
 use ibiscove_ranges::{
     ControllerDependencies, Grantee, HoldList, HoldReport, RangeController, RangeMaps,
@@ -91,6 +91,7 @@
     clock: C,
     parse_config: ParseConfig,
     config: ConfigCell,
+    config_lag: ConfigLag,
     members: Members,
     maps: RangeMaps,
     local_upstream: LocalUpstream,
@@ -142,6 +143,7 @@
         let mesh = bind_udp("heartbeats", settings.addrs.heartbeats).await?;
         let heartbeat_due = Arc::new(Event::new());
         let config = ConfigCell::default();
+        let config_lag = ConfigLag::default();
         let members = Members::new(settings.heartbeat_interval);
         let maps = RangeMaps::default();
         let local_upstream = LocalUpstream::new(
@@ -178,6 +180,7 @@
             },
             clock: clock.clone(),
             config: config.clone(),
+            config_lag: config_lag.clone(),
             members: members.clone(),
             maps: maps.clone(),
             local_upstream: local_upstream.clone(),
@@ -197,6 +200,7 @@
                 clock,
                 parse_config,
                 config,
+                config_lag,
                 members,
                 maps,
                 local_upstream,
@@ -233,6 +237,7 @@
         let entry = inner.entry.clone();
         let early_entry = inner.entry.clone();
         let caller_settings = ServerSettings {
+            clients: "callers",
             pipeline: inner.settings.pipeline,
             ..ServerSettings::default()
         };
@@ -256,16 +261,17 @@
             body_budget: inner.body_budget.clone(),
             transit: TransitBySender::default(),
         });
-        let serve_peers = inner
-            .peer_server
-            .clone()
-            .run(peers, ServerSettings::default(), {
-                move |req| {
-                    let handler = Arc::clone(&peer_handler);
-                    let work = Box::pin(async move { handler.handle(req).await });
-                    respond_despite_panic(work, "gate")
-                }
-            });
+        let peer_settings = ServerSettings {
+            clients: "nodes",
+            ..ServerSettings::default()
+        };
+        let serve_peers = inner.peer_server.clone().run(peers, peer_settings, {
+            move |req| {
+                let handler = Arc::clone(&peer_handler);
+                let work = Box::pin(async move { handler.handle(req).await });
+                respond_despite_panic(work, "gate")
+            }
+        });
         smol::spawn(serve_callers).detach();
         smol::spawn(serve_peers).detach();
         let addresses = Introductions::default();
@@ -365,6 +371,7 @@
         };
         let is_applied = self.inner.config.replace_if_newer(table, text);
         if is_applied {
+            self.update_config_lag();
             self.apply_cold_start();
             self.start_range_controller();
             self.inner.spread_due.notify(usize::MAX);
@@ -372,6 +379,14 @@
         is_applied
     }
 
+    /// Compares the configuration in force with the newest one that is known.
+    pub(crate) fn update_config_lag(&self) {
+        let inner = &self.inner;
+        inner
+            .config_lag
+            .update(inner.config.version(), inner.clock.now());
+    }
+
     /// Applies an announcement of the local upstream, with the ranges that it
     /// reports. Returns what it is to hold, if grants travel in the answers.
     ///
--- a/crates/router/src/maintenance.rs
+++ b/crates/router/src/maintenance.rs
@@ -19,6 +19,7 @@
         loop {
             inner.clock.sleep(CHECK_INTERVAL).await;
             let now = inner.clock.now();
+            self.update_config_lag();
             if inner.local_upstream.expire_if_unresponsive(now)
                 && let Some(controller) = inner.range_controller.get()
             {
--- a/crates/routing/src/refusals.rs
+++ b/crates/routing/src/refusals.rs
@@ -11,3 +11,19 @@
         "outcome" => outcome.as_str(),
     )
 }
+
+/// Returns the same counter with the place in the node that refused.
+pub fn counter_at(
+    role: &'static str,
+    place: &'static str,
+    reason: Reason,
+    outcome: Outcome,
+) -> metrics::Counter {
+    metrics::counter!(
+        "ibiscove_refusals_total",
+        "role" => role,
+        "place" => place,
+        "reason" => reason.as_str(),
+        "outcome" => outcome.as_str(),
+    )
+}
