Tests: configurations of 0.67 MB on narrow links, which fail

Change: support/narrow_links.rs starts nodes on loopback that reach each other only through relays. A relay delays each block by the uplink of its sender and the downlink of its receiver, which all connections of a node share, and counts the bytes. It reads from heartbeats which version each node has in force.

--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test binary uses its part")]
 
+pub mod narrow_links;
 pub mod raw;
 
 use hyper::body::Incoming;
