A configuration is passed on in chunks, by what changed

A node that does not follow the store fetched each version whole from one peer and gave up 0.8 s after the start, whatever had arrived; it then began anew elsewhere, two at a time. On links of 10 Mbit/s with tens of nodes behind at once no fetch ended in time, and all used the links.

Now a node asks for the manifest of a long text, looks up which chunks its own text has, and fetches the others, 64 KiB of content at a time and compressed. What has arrived is kept until the version is in force: a peer that is lost costs one request, two peers are asked for different chunks, and a newer version takes over the chunks of the one before. Members of the same data centre are asked first, others after 400 ms. A version that cannot be parsed is not fetched again from each member that has it.

--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -8,6 +8,7 @@
 //! request. See `docs/request-path.md`.
 
 pub mod config_lag;
+pub mod config_transfer;
 pub mod entry;
 pub mod forward;
 pub mod gate;
--- a/crates/proxy/src/peer_api.rs
+++ b/crates/proxy/src/peer_api.rs
@@ -1,6 +1,7 @@
 //! The HTTP interface between nodes: forwarded requests, and configurations and
 //! range maps for nodes that have older ones.
 
+use crate::config_transfer::{self, CHUNKS_PATH, CONFIG_PATH, Unserved};
 use crate::forward::RequestMetadata;
 use crate::gate::{Gate, KeyOwnership, OutboundRequest, Permit};
 use crate::headers::{self, GATE_LOAD, OUTCOME};
@@ -9,9 +10,11 @@
 use crate::routes::ConfigCell;
 use crate::suspects::Suspects;
 use crate::transit::TransitBySender;
+use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::http::uri::PathAndQuery;
-use hyper::{Method, Request, Response};
+use hyper::{Method, Request, Response, StatusCode};
+use ibiscove_chunks::ChunkError;
 use ibiscove_http::body::{BodyBudget, read_whole, read_within_budget};
 use ibiscove_http::{Body, Exchange, Pool, SendError};
 use ibiscove_ranges::RangeMaps;
@@ -25,8 +28,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Path under which a node serves its configuration.
-const CONFIG_PATH: &str = "/_ibiscove/config";
 /// Path under which a node serves its range maps. A service's name follows, and
 /// as the query the epochs of the requesting node's sections.
 const RANGES_PATH: &str = "/_ibiscove/ranges/";
@@ -63,11 +64,13 @@
     /// Responds to a request of another node.
     pub async fn handle(&self, req: Request<Incoming>) -> RelayedResponse<Permit<K, C>> {
         let path = req.uri().path();
+        let query = req.uri().query();
         if path == CONFIG_PATH {
-            return match self.config.text() {
-                Some(text) => Response::new(Body::whole(text)),
-                None => Refusal::not_run(Reason::NoConfiguration).response(),
-            };
+            return respond_config(config_transfer::respond(&self.config, query));
+        }
+        if path == CHUNKS_PATH {
+            let query = query.unwrap_or_default();
+            return respond_config(config_transfer::respond_chunks(&self.config, query));
         }
         if let Some(service) = path.strip_prefix(RANGES_PATH) {
             return self.map_updates(service, req.uri().query().unwrap_or_default());
@@ -143,6 +146,19 @@
     }
 }
 
+/// Responds to another node with what it asks for of the configuration.
+fn respond_config<G>(body: Result<Bytes, Unserved>) -> Response<Body<G>> {
+    match body {
+        Ok(body) => Response::new(Body::whole(body)),
+        Err(Unserved::NoConfiguration) => Refusal::not_run(Reason::NoConfiguration).response(),
+        Err(Unserved::NoSuchChunks) => {
+            let mut response = Response::new(Body::whole(Bytes::new()));
+            *response.status_mut() = StatusCode::NOT_FOUND;
+            response
+        }
+    }
+}
+
 /// Responds to another node with `content`, named by `what` in the log.
 fn respond_json<G>(what: &str, content: &impl Serialize) -> Response<Body<G>> {
     match serde_json::to_vec(content) {
@@ -187,6 +203,15 @@
     /// The service's name is not valid in a path.
     #[error("the service name {0} is not valid in a path")]
     InvalidServiceName(ServiceName),
+    /// A path is not valid.
+    #[error("the path {0} is not valid")]
+    InvalidPath(String),
+    /// The response ends within a chunk.
+    #[error("the response ends within a chunk")]
+    Truncated,
+    /// A chunk is damaged, or the text that the chunks make.
+    #[error(transparent)]
+    Chunk(#[from] ChunkError),
     /// The timeout passed without a response.
     #[error("the peer did not respond in time")]
     TimedOut,
@@ -201,20 +226,13 @@
             Self::Status(_) => "status",
             Self::Malformed(_) => "malformed",
             Self::InvalidServiceName(_) => "service-name",
+            Self::InvalidPath(_) => "path",
+            Self::Truncated | Self::Chunk(_) => "chunk",
             Self::TimedOut => "timed-out",
         }
     }
 }
 
-/// Fetches the source text of a peer's configuration.
-pub async fn fetch_config(
-    pool: &Pool,
-    clock: &impl Clock,
-    peer: SocketAddr,
-) -> Result<bytes::Bytes, FetchError> {
-    fetch(pool, clock, peer, PathAndQuery::from_static(CONFIG_PATH)).await
-}
-
 /// Fetches the sections of a service's range map of which a peer has a newer
 /// state, and applies them.
 pub async fn fetch_map(
@@ -249,12 +267,12 @@
     )?)
 }
 
-async fn fetch(
+pub(crate) async fn fetch(
     pool: &Pool,
     clock: &impl Clock,
     peer: SocketAddr,
     path: PathAndQuery,
-) -> Result<bytes::Bytes, FetchError> {
+) -> Result<Bytes, FetchError> {
     let outbound = OutboundRequest {
         method: Method::GET,
         path_and_query: path,
--- a/crates/proxy/src/routes.rs
+++ b/crates/proxy/src/routes.rs
@@ -3,10 +3,11 @@
 use bytes::Bytes;
 use event_listener::{Event, EventListener};
 use hyper::http::uri::PathAndQuery;
+use ibiscove_chunks::ChunkedText;
 use ibiscove_routing::admission::Priority;
 use ibiscove_types::ServiceName;
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 /// A service with its weight in a route's traffic split.
@@ -279,6 +280,8 @@
 struct Current {
     table: Arc<RouteTable>,
     text: Bytes,
+    /// Filled once another node asks for it.
+    chunked: Arc<OnceLock<Arc<ChunkedText>>>,
 }
 
 impl ConfigCell {
@@ -301,6 +304,16 @@
         self.lock().as_ref().map(|current| current.text.clone())
     }
 
+    /// Returns the text of the configuration in force, divided into chunks.
+    pub(crate) fn chunked(&self) -> Option<Arc<ChunkedText>> {
+        let current = self.lock().clone()?;
+        let chunked = current.chunked.get_or_init(|| {
+            let chunked = ChunkedText::new(current.table.version, &current.text);
+            Arc::new(chunked)
+        });
+        Some(Arc::clone(chunked))
+    }
+
     /// Puts a configuration in force if it is newer than the current one. Returns
     /// whether it is.
     pub fn replace_if_newer(&self, table: RouteTable, text: Bytes) -> bool {
@@ -311,11 +324,12 @@
         {
             return false;
         }
-        log::info!(version = table.version, services = table.services.len();
+        log::info!(version = table.version, services = table.services.len(), bytes = text.len();
             "configuration in force");
         *current = Some(Current {
             table: Arc::new(table),
             text,
+            chunked: Arc::default(),
         });
         drop(current);
         self.inner.changed.notify(usize::MAX);
--- a/crates/router/src/catch_up.rs
+++ b/crates/router/src/catch_up.rs
@@ -4,18 +4,23 @@
 use crate::{Router, crash_news, map_news};
 use ibiscove_mesh::Member;
 use ibiscove_mesh::heartbeat::Content;
-use ibiscove_proxy::peer_api;
+use ibiscove_proxy::{config_transfer, peer_api};
 use ibiscove_ranges::Grantee;
 use ibiscove_store::Table;
 use ibiscove_types::{BootClock, Clock, ServiceName};
 use std::collections::BTreeMap;
 use std::collections::btree_map::Entry;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 /// Time that a node which follows the source of the configuration waits for a
 /// newer one from there before it is fetched from the peer that has it.
 const CONFIG_FETCH_DELAY: Duration = Duration::from_millis(250);
+/// Time for which a node that is behind waits for the members of its data centre before
+/// it asks others. The followers of each data centre learn of a version at about the same
+/// time, and it reaches the others of theirs over two or three hops of some 100 ms.
+const OTHER_DATA_CENTRE_DELAY: Duration = Duration::from_millis(400);
 /// Longest delay before other nodes fetch it, so that they do not all ask the
 /// same peer at once.
 const MAX_SPREAD_CONFIG_DELAY: Duration = Duration::from_millis(60);
@@ -47,7 +52,7 @@
         self.inner
             .config_lag
             .observe(member.config_version, &member.name, in_force, now);
-        if member.config_version > in_force
+        if self.may_fetch_config(member, in_force, now)
             && let Some(guard) = self.inner.active_fetches.begin(CONFIG_FETCH_NAME, now)
         {
             let fetch = self.clone().fetch_config(member.clone(), guard);
@@ -98,6 +103,21 @@
         }
     }
 
+    /// Returns whether a member has a newer configuration that this node may fetch from
+    /// it now. Members of the same data centre come first: from there a version passes
+    /// between data centres once and not once for each node.
+    fn may_fetch_config(&self, member: &Member, in_force: u64, now: Instant) -> bool {
+        let inner = &self.inner;
+        let version = member.config_version;
+        if version <= in_force || inner.rejected_config.is(version) {
+            return false;
+        }
+        let lag = inner.config_lag.lag(in_force, now);
+        in_force == 0
+            || member.data_centre == inner.settings.data_centre
+            || lag.is_some_and(|lag| lag.behind >= OTHER_DATA_CENTRE_DELAY)
+    }
+
     async fn fetch_config(self, peer: Member, _guard: FetchGuard) {
         let inner = &self.inner;
         let delay = match (inner.config.version(), self.follows_config()) {
@@ -109,13 +129,26 @@
         if peer.config_version <= inner.config.version() {
             return;
         }
-        match peer_api::fetch_config(&inner.peers, &inner.clock, peer.gate).await {
-            Ok(text) => {
+        let fetched = config_transfer::fetch_config(
+            &inner.peers,
+            &inner.clock,
+            peer.gate,
+            peer.config_version,
+            &inner.config,
+            &inner.config_download,
+        );
+        match fetched.await {
+            Ok(Some(text)) => {
                 if self.apply_config(text) {
                     log::info!(peer = &*peer.name, version = peer.config_version;
                         "configuration taken from a peer");
+                } else if inner.config.version() < peer.config_version {
+                    inner.rejected_config.set(peer.config_version);
                 }
             }
+            // Another fetch completes the text, or the peer has sent what it was asked for
+            // of a version that was replaced.
+            Ok(None) => {}
             Err(err) => {
                 inner.config_lag.record_failure(err.cause());
                 log::warn!(peer = &*peer.name; "a newer configuration was not fetched: {err}");
@@ -222,3 +255,18 @@
         }
     }
 }
+
+/// The newest version of the configuration that this node could not parse. It isn't
+/// fetched again from each member that has it.
+#[derive(Default)]
+pub(crate) struct RejectedConfig(AtomicU64);
+
+impl RejectedConfig {
+    fn is(&self, version: u64) -> bool {
+        self.0.load(Ordering::Relaxed) == version
+    }
+
+    fn set(&self, version: u64) {
+        self.0.store(version, Ordering::Relaxed);
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -29,6 +29,7 @@
 use ibiscove_mesh::evacuations::EvacuationNews;
 use ibiscove_mesh::heartbeat::News;
 use ibiscove_mesh::{Members, Upstream, followers, heartbeat};
+use ibiscove_proxy::config_transfer::ConfigDownload;
 use ibiscove_proxy::entry::{EntryDependencies, NodeIdentity};
 use ibiscove_proxy::local_upstream::AnnouncementEffect;
 use ibiscove_proxy::panics::respond_despite_panic;
@@ -118,6 +119,9 @@
     evacuation_enforcement: Mutex<()>,
     /// Configurations and maps that are being fetched from other nodes.
     active_fetches: catch_up::ActiveFetches,
+    /// The newer configuration that is being fetched.
+    config_download: ConfigDownload,
+    rejected_config: catch_up::RejectedConfig,
     /// Whether the node is shutting down: not ready for callers, and its ranges
     /// move to other nodes.
     is_shutting_down: AtomicBool,
@@ -218,6 +222,8 @@
                 is_evacuation_unspread: AtomicBool::new(false),
                 evacuation_enforcement: Mutex::default(),
                 active_fetches: catch_up::ActiveFetches::default(),
+                config_download: ConfigDownload::default(),
+                rejected_config: catch_up::RejectedConfig::default(),
                 is_shutting_down: AtomicBool::new(false),
                 is_withdrawn: AtomicBool::new(false),
                 settings,
@@ -372,6 +378,9 @@
         let is_applied = self.inner.config.replace_if_newer(table, text);
         if is_applied {
             self.update_config_lag();
+            self.inner
+                .config_download
+                .forget(self.inner.config.version());
             self.apply_cold_start();
             self.start_range_controller();
             self.inner.spread_due.notify(usize::MAX);
