Transfers between nodes have a limit on their rate at the sender

Cause: nothing bounds what a node sends to those that are behind. All of them ask at once, and the transfers take its link from requests.

Nothing uses it yet.

--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod relay;
 pub mod routes;
 pub mod suspects;
+pub mod transfer_pacing;
 pub mod transit;
 pub mod upstream_notice;
 pub mod upstream_selection;
