Store: an answer may take as long as it makes progress

Cause: a call to the store had 1.5 s for everything (a call for changes 1.2 s beyond its wait), however much of the answer had arrived, and began anew after that. The operator's row of 2,800 routes has some 900 KB in base64: 0.7 s on a link of 10 Mbit/s without any other traffic, 2.2 s where callers use two thirds. Each retry used the link again for nothing.

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -4,7 +4,8 @@
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use ibiscove_io::{DeadlinePassed, LateSource};
+use ibiscove_io::{DeadlinePassed, LateSource, Transfer, TransferLimits};
+use smol::future::FutureExt;
 use std::collections::VecDeque;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -159,6 +160,20 @@
     Broken(#[from] hyper::Error),
 }
 
+/// Why a body that must make progress could not be read into memory.
+#[derive(Debug, thiserror::Error)]
+pub enum ProgressError {
+    /// It went silent, or came too slowly.
+    #[error("the body went silent or came too slowly after {received} bytes")]
+    Stalled {
+        /// The bytes that had arrived.
+        received: usize,
+    },
+    /// It could not be read.
+    #[error(transparent)]
+    Read(#[from] ReadError),
+}
+
 /// Limits the bytes of bodies that are kept at a time, whatever their number.
 /// Clones share the budget.
 #[derive(Clone, Debug)]
@@ -330,6 +345,32 @@
     }
 }
 
+/// Reads a complete body into memory for as long as it makes progress.
+pub async fn read_whole_in_progress(
+    mut body: Incoming,
+    limit: usize,
+    limits: TransferLimits,
+) -> Result<Bytes, ProgressError> {
+    let mut read = ReadBytes::default();
+    let mut transfer = Transfer::new(limits, Instant::now());
+    loop {
+        let next = async { Ok(next_data(&mut body).await.map_err(ReadError::from)?) };
+        let stalled = async {
+            smol::Timer::at(transfer.deadline()).await;
+            let received = read.len();
+            Err(ProgressError::Stalled { received })
+        };
+        let Some(data) = next.or(stalled).await? else {
+            return Ok(read.into_bytes());
+        };
+        transfer.record(data.len(), Instant::now());
+        read.push(data);
+        if read.len() > limit {
+            return Err(ReadError::TooLong { limit }.into());
+        }
+    }
+}
+
 /// Reads a body until its end or until more than `limit` bytes were read.
 /// Returns whether the end was reached.
 pub async fn read_up_to(
