Peers: a long message may take as long as it makes progress

Cause: a call had 1 s for its whole reply, and the server 1 s to write it. The text of 2,800 routes (670 KB) takes 0.54 s on a free link of 10 Mbit/s and more than 1 s beside callers or a second fetch. After a time-out the client closed the connection, because no reply had been complete during the call, with all other calls on it, and fetched the text anew from another peer.

Change: while a reply of more than 64 KiB arrives, the limit of 1 s is that on silence for all calls on the connection, which are answered in order, with 32 KiB/s as the lowest mean rate. A long request gets the time that it takes at a tenth of the link on top, because the kernel hides its progress. The server ends a reply of which nothing is taken for 1 s. Calls without long messages on their connection end as before.

--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Capacity of the call queue of one connection.
 const MAX_QUEUED_CALLS: usize = 256;
@@ -61,6 +61,13 @@
     rx: Receiver<Response>,
 }
 
+/// Length of a message, in bytes, above which its progress extends the calls on its
+/// connection: shorter ones take less than 0.1 s on a link of 10 Mbit/s.
+const LONG_MESSAGE_BYTES: usize = 64 << 10;
+/// Rate at which a long request leaves, in bytes per second: a tenth of a link of
+/// 10 Mbit/s. Its progress can't be seen, for the kernel buffers it.
+const REQUEST_RATE: u32 = 128 << 10;
+
 #[derive(Default)]
 struct PendingCalls {
     next_id: AtomicI64,
@@ -68,6 +75,9 @@
     /// connection is considered dead.
     replies_read: AtomicU64,
     reply_senders: Mutex<HashMap<i64, Sender<Response>>>,
+    /// Last time at which a part of a long reply was read, or by which the long requests
+    /// have left. Calls are executed and answered in order, so that later ones wait.
+    busy_until: Mutex<Option<Instant>>,
 }
 
 impl PendingCalls {
@@ -77,6 +87,44 @@
             .expect("a holder of the lock panicked")
     }
 
+    /// Records that a part of a reply of `len` bytes was read.
+    fn record_part(&self, len: usize) {
+        if len > LONG_MESSAGE_BYTES {
+            let mut busy_until = self.busy_until();
+            *busy_until = (*busy_until).max(Some(Instant::now()));
+        }
+    }
+
+    /// Records that a request of `len` bytes was queued.
+    fn record_request(&self, len: usize) {
+        if len > LONG_MESSAGE_BYTES {
+            let mut busy_until = self.busy_until();
+            let from = (*busy_until).max(Some(Instant::now()));
+            let took = Duration::from_secs_f64(len as f64 / f64::from(REQUEST_RATE));
+            *busy_until = from.map(|from| from + took);
+        }
+    }
+
+    fn busy_until(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.busy_until
+            .lock()
+            .expect("a holder of the lock panicked")
+    }
+
+    /// Waits until a call that was queued at `queued_at` has taken too long.
+    async fn time_out(&self, queued_at: Instant, settings: &PeerSettings) {
+        let limits = settings.message_limits();
+        let latest = queued_at + limits.longest(settings.max_frame_bytes);
+        loop {
+            let silent_since = self.busy_until().unwrap_or(queued_at).max(queued_at);
+            let deadline = latest.min(silent_since + settings.call_timeout);
+            if deadline <= Instant::now() {
+                return;
+            }
+            smol::Timer::at(deadline).await;
+        }
+    }
+
     fn replies_read(&self) -> u64 {
         self.replies_read.load(Ordering::Relaxed)
     }
@@ -168,6 +216,7 @@
             let replies_before = pending.replies_read();
             let (tx, rx) = smol::channel::bounded(1);
             pending.reply_senders().insert(call.id, tx);
+            pending.record_request(message_len);
             let sending = async {
                 let sent = connection.calls.send(message).await;
                 sent.map_err(io::Error::other)
@@ -227,16 +276,21 @@
             rx,
         } = call.await?;
         traffic::count_sent(kind, message_len);
-        let exchange = async { rx.recv().await.map_err(io::Error::other) };
-        let response = with_timeout(self.settings.call_timeout, exchange).await;
+        let exchange = async { rx.recv().await.ok() };
+        let timeout = async {
+            let pending = &connection.pending;
+            pending.time_out(Instant::now(), &self.settings).await;
+            None
+        };
+        let response = exchange.or(timeout).await;
         connection.pending.reply_senders().remove(&id);
         match response {
-            Ok(Response::Failed(failed)) => Err(PeerError::Failed {
+            Some(Response::Failed(failed)) => Err(PeerError::Failed {
                 addr,
                 message: failed.message,
             }),
-            Ok(response) => Ok(response),
-            Err(_) => {
+            Some(response) => Ok(response),
+            None => {
                 // A half-open connection looks alive for minutes. If no reply
                 // at all arrived during the call, the next call reconnects.
                 if connection.pending.replies_read() == replies_before {
@@ -278,7 +332,7 @@
 ) {
     let (rx, tx) = (Yielding::new(stream.clone()), Yielding::new(stream));
     let writing = write_calls(tx, &calls, &pending, &settings);
-    let reading = read_replies(rx, Arc::clone(&pending), settings.max_frame_bytes);
+    let reading = read_replies(rx, Arc::clone(&pending), &settings);
     if let Err(err) = writing.or(reading).await {
         log::debug!("peer client: connection closed: {err}");
     }
@@ -315,10 +369,13 @@
 async fn read_replies(
     mut stream: impl AsyncRead + Unpin,
     pending: Arc<PendingCalls>,
-    max_frame_bytes: usize,
+    settings: &PeerSettings,
 ) -> io::Result<()> {
+    let limits = settings.message_limits();
     loop {
-        let bytes = frame::read(&mut stream, max_frame_bytes).await?;
+        let on_part = |len| pending.record_part(len);
+        let reading = frame::read_in_parts(&mut stream, settings.max_frame_bytes, limits, on_part);
+        let bytes = reading.await?;
         let reply: Reply = codec::decode(&bytes).map_err(io::Error::other)?;
         traffic::count_received(traffic::response_kind(&reply.response), bytes.len());
         pending.replies_read.fetch_add(1, Ordering::Relaxed);
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -25,6 +25,7 @@
 #[path = "generated.rs"]
 pub mod messages;
 
+use ibiscove_io::TransferLimits;
 use ibiscove_types::Incarnation;
 use messages::{Request, Response};
 use std::future::Future;
@@ -45,7 +46,8 @@
     pub key: SharedKey,
     /// Timeout of connecting, including the handshake.
     pub connect_timeout: Duration,
-    /// Timeout of one call.
+    /// Timeout of one call. While a long message is under way on its connection, it is
+    /// the longest time without progress.
     pub call_timeout: Duration,
     /// Time without calls after which the client closes a connection. A node
     /// compares rows with randomly chosen nodes, so without this limit it would
@@ -60,6 +62,20 @@
     pub max_connections: usize,
 }
 
+impl PeerSettings {
+    /// Returns the limits on a message that is under way.
+    pub(crate) fn message_limits(&self) -> TransferLimits {
+        TransferLimits {
+            silence: self.call_timeout,
+            min_rate: MIN_RATE,
+        }
+    }
+}
+
+/// Lowest mean rate of a long message, in bytes per second: what one of some forty
+/// connections gets on a link of 10 Mbit/s.
+const MIN_RATE: u32 = 32 << 10;
+
 impl Default for PeerSettings {
     fn default() -> Self {
         Self {
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -3,7 +3,7 @@
 use crate::client::with_timeout;
 use crate::messages::{Call, Reply};
 use crate::{PeerService, PeerSettings, auth, codec, frame, traffic};
-use ibiscove_io::Yielding;
+use ibiscove_io::{WriteTimeout, Yielding};
 use smol::io;
 use smol::net::{TcpListener, TcpStream};
 use std::sync::Arc;
@@ -57,6 +57,8 @@
     service: impl PeerService,
 ) -> io::Result<()> {
     stream.set_nodelay(true)?;
+    // A peer that takes nothing of a reply is gone; a long reply may take its time.
+    let stream = WriteTimeout::new(stream, settings.call_timeout);
     let mut stream = Yielding::new(stream);
     let handshake = auth::handshake_as_server(&mut stream, &settings.key, settings.incarnation);
     let peer = with_timeout(settings.connect_timeout, handshake).await?;
@@ -73,6 +75,7 @@
         let kind = traffic::response_kind(&reply.response);
         let bytes = codec::encode(&reply).map_err(io::Error::other)?;
         traffic::count_sent(kind, bytes.len());
-        with_timeout(settings.call_timeout, frame::write(&mut stream, &bytes)).await?;
+        let longest = settings.message_limits().longest(bytes.len());
+        with_timeout(longest, frame::write(&mut stream, &bytes)).await?;
     }
 }
