Another node's verdict never blames the caller

Cause: an entry passed 404, 400 and 413 of a gate's node on as final. It had found the request proper itself, so the two nodes read it by different configurations (a gate whose service has keys of one owner answered no-key to an entry that knows of no division) or one could not read the other.

Change: such a verdict becomes nodes-disagree, 503 and not-run as the gate said. It is retried at another upstream of a shared service at once without charge, as after overloaded, otherwise within the budget; it counts as a failure of the node in upstream selection. The gate itself says nodes-disagree, also to the entry of its own node.

Tests: verdict_of_another_node_is_not_the_callers_fault (4 cases; before: 404, 400, 400, 413) and gate_that_needs_a_key_does_not_blame_the_caller (before: 400, no-key).

--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -264,7 +264,7 @@
     fn qualify(&self, refusal: Refusal) -> Refusal {
         let deps = self.deps();
         let lag = || deps.config_lag.lag(deps.config.version(), deps.clock.now());
-        if refusal.is_remote || !refusal.blames_caller() || lag().is_none() {
+        if !refusal.blames_caller() || lag().is_none() {
             return refusal;
         }
         let behind = Refusal {
--- a/crates/proxy/src/entry/attempt.rs
+++ b/crates/proxy/src/entry/attempt.rs
@@ -278,6 +278,7 @@
             | Reason::UpstreamUnreachable
             | Reason::UpstreamLost
             | Reason::UpstreamRefused
+            | Reason::NodesDisagree
             | Reason::NoUpstream => in_flight.finish(true),
             _ => {}
         },
--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -497,7 +497,8 @@
         }
         match (keys, metadata.key) {
             (None, _) => Ok(upstream),
-            (Some(_), None) => Err(Reason::NoKey),
+            // The entry would have asked the caller for a key if it knew of the division.
+            (Some(_), None) => Err(Reason::NodesDisagree),
             (Some(keys), Some(key)) => match keys.key_status(key) {
                 KeyStatus::Serving => Ok(upstream),
                 KeyStatus::Moving => Err(Reason::Moving),
--- a/crates/proxy/src/refusal.rs
+++ b/crates/proxy/src/refusal.rs
@@ -123,10 +123,7 @@
 
     /// Returns whether the caller has to change the request: no retry helps.
     pub fn blames_caller(&self) -> bool {
-        matches!(
-            self.reason,
-            Reason::NoRoute | Reason::NoKey | Reason::BadHeader | Reason::BodyTooLarge
-        )
+        blames_caller(self.reason)
     }
 
     /// Returns the HTTP status for callers. 503 guarantees that the request has
@@ -189,15 +186,23 @@
     }
 
     /// Reads the refusal of another node's gate; returns none when the response
-    /// is an upstream's.
+    /// is an upstream's. A verdict that blames the caller becomes a disagreement, since
+    /// this node has found the request proper.
     pub fn from_response<B>(response: &Response<B>) -> Option<Self> {
         let from = response.headers();
-        let reason = headers::text(from, &REASON)?;
+        let word = headers::text(from, &REASON)?;
+        let reason = match Reason::parse(word) {
+            Some(reason) if blames_caller(reason) => {
+                log::warn!(reason = word; "another node refuses what this entry found proper");
+                Reason::NodesDisagree
+            }
+            reason => reason.unwrap_or(Reason::PeerLost),
+        };
         let outcome = headers::text(from, &OUTCOME).and_then(Outcome::parse);
         let millis = headers::text(from, &RETRY_AFTER_MS).and_then(|text| text.parse().ok());
         Some(Self {
             outcome: outcome.unwrap_or(Outcome::Unknown),
-            reason: Reason::parse(reason).unwrap_or(Reason::PeerLost),
+            reason,
             retry_after: Duration::from_millis(millis.unwrap_or(0)),
             place: headers::text(from, &REFUSAL_PLACE).and_then(Place::parse),
             is_remote: true,
@@ -205,6 +210,13 @@
     }
 }
 
+fn blames_caller(reason: Reason) -> bool {
+    matches!(
+        reason,
+        Reason::NoRoute | Reason::NoKey | Reason::BadHeader | Reason::BodyTooLarge
+    )
+}
+
 /// Time after which a caller may return whose body found no memory: a few service
 /// times, after which other bodies are done with.
 const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(250);
--- a/crates/router/tests/client_errors.rs
+++ b/crates/router/tests/client_errors.rs
@@ -2,17 +2,29 @@
 
 mod support;
 
-use ibiscove_http::{Pool, PoolSettings};
+use hyper::header::{HeaderName, HeaderValue};
+use hyper::{HeaderMap, Request, Response, StatusCode};
+use ibiscove_http::{Body, Pool, PoolSettings, Server, ServerSettings};
+use ibiscove_proxy::HeaderNames;
+use ibiscove_proxy::routes::RouteTable;
+use ibiscove_ranges::HoldReport;
+use ibiscove_router::Router;
 use ibiscove_store::MemoryPlatform;
-use smol::net::UdpSocket;
+use ibiscove_types::SystemClock;
+use ibiscove_wire::messages::UpstreamPresence;
+use smol::net::{TcpListener, UdpSocket};
+use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicI64;
+use std::sync::atomic::{AtomicI64, Ordering};
 use std::time::Duration;
 use support::raw::exchange_raw;
 use support::{
-    CountingUpstream, addr, node_settings, send_heartbeat, send_request, start_node_with,
+    CountingUpstream, TestRouter, addr, announcement, node_settings, parse_config, presence,
+    send_heartbeat, send_request, start_node, start_node_with, wait_until_served,
 };
 
+use yare::parameterized;
+
 /// Guards against a 404 for a route that exists in a newer configuration, which the node
 /// knows from a heartbeat to be there and does not have yet.
 #[test]
@@ -31,7 +43,7 @@
         // The peer leaves without having passed the configuration on.
         let gone = addr(99, 7_401);
         let socket = UdpSocket::bind(gone).await.expect("it is free");
-        send_heartbeat(&socket, node, "gone", gone).await;
+        send_heartbeat(&socket, node, &presence("gone", gone)).await;
         drop(socket);
         smol::Timer::after(Duration::from_millis(100)).await;
         let answer = exchange_raw(
@@ -59,3 +71,137 @@
         assert!(answer.starts_with("HTTP/1.1 400 "), "{answer}");
     });
 }
+
+/// Starts a node without an upstream, at which callers arrive.
+async fn start_entry(number: u8, table: &MemoryPlatform) -> (TestRouter, SocketAddr, SocketAddr) {
+    let settings = node_settings(number, "signs", addr(number, 7_402));
+    let (upstream, born_ms) = (CountingUpstream::default(), Arc::new(AtomicI64::new(0)));
+    let node = settings.addrs.heartbeats;
+    let (router, callers) = start_node_with(number, settings, table, upstream, born_ms).await;
+    assert!(router.apply_config("8".into()));
+    (router, callers, node)
+}
+
+/// Serves requests of nodes at `gate` with a fixed response, beside an upstream of the
+/// service `gallery` that `node` hears of.
+async fn start_peer(
+    node: SocketAddr,
+    gate: SocketAddr,
+    status: u16,
+    headers: &[(&'static str, &str)],
+) {
+    let listener = TcpListener::bind(gate).await.expect("it is free");
+    let headers: HeaderMap = headers
+        .iter()
+        .map(|(name, value)| {
+            let value = HeaderValue::from_str(value).expect("it is valid");
+            (HeaderName::from_static(name), value)
+        })
+        .collect();
+    let handle = move |_req: Request<_>| {
+        let mut response = Response::new(Body::<()>::whole("of the peer"));
+        *response.status_mut() = StatusCode::from_u16(status).expect("it is valid");
+        *response.headers_mut() = headers.clone();
+        async { response }
+    };
+    smol::spawn(Server::default().run(listener, ServerSettings::default(), handle)).detach();
+    let mut presence = presence("peer", gate);
+    presence.service_name = Some("gallery".to_owned());
+    presence.upstream = Some(UpstreamPresence {
+        id: "upstream".to_owned(),
+        born_ms: 1,
+        draining: false,
+        slots: 4,
+        load: 0,
+        service_time_us: 1_000,
+        cold_left_ms: 0,
+    });
+    let socket = UdpSocket::bind(gate).await.expect("it is free");
+    smol::spawn(async move {
+        loop {
+            send_heartbeat(&socket, node, &presence).await;
+            presence.sequence += 1;
+            smol::Timer::after(Duration::from_millis(100)).await;
+        }
+    })
+    .detach();
+}
+
+/// Sends requests until one reaches the peer. Returns its status and body.
+async fn send_to_peer(callers: SocketAddr) -> (u16, String) {
+    let pool = Pool::new(PoolSettings::default());
+    for _ in 0..100 {
+        let answer = send_request(&pool, callers, "/signs/1").await;
+        if !answer.1.contains("no-upstream") {
+            return answer;
+        }
+        smol::Timer::after(Duration::from_millis(20)).await;
+    }
+    panic!("the node does not know the peer's upstream");
+}
+
+/// Guards against a 4xx for a request that its entry found proper: another node that reads
+/// it by another configuration, or cannot read it, must not blame the caller.
+#[parameterized(
+    route = { 101, "no-route", 404 },
+    key = { 103, "no-key", 400 },
+    header = { 105, "bad-header", 400 },
+    length = { 107, "body-too-large", 413 },
+)]
+fn verdict_of_another_node_is_not_the_callers_fault(number: u8, reason: &str, status: u16) {
+    smol::block_on(async {
+        let (_router, callers, node) = start_entry(number, &MemoryPlatform::default()).await;
+        let headers = [("ibiscove-outcome", "not-run"), ("ibiscove-reason", reason)];
+        start_peer(node, addr(number + 1, 7_401), status, &headers).await;
+        let (status, body) = send_to_peer(callers).await;
+        assert_eq!(status, 503, "{body}");
+        assert!(
+            body.contains("nodes-disagree") && body.contains("not-run"),
+            "{body}"
+        );
+    });
+}
+
+/// Reads a configuration as the other nodes do, but for the service `gallery`, of which
+/// each key has one owner here.
+fn parse_config_with_keys(text: &[u8]) -> Result<RouteTable, String> {
+    let mut table = parse_config(text)?;
+    let gallery = table.services.get_mut("gallery").expect("it is configured");
+    gallery.is_divided = true;
+    Ok(table)
+}
+
+/// Guards against a 400 of a gate that asks for a key of which the entry knows nothing. Where
+/// another node serves the service, it gets the request.
+#[test]
+fn gate_that_needs_a_key_does_not_blame_the_caller() {
+    smol::block_on(async {
+        let table = MemoryPlatform::default();
+        let (_router, callers, _) = start_entry(109, &table).await;
+        let upstream = CountingUpstream::default();
+        let started = Router::start(
+            node_settings(110, "gallery", upstream.serve().await),
+            HeaderNames::default(),
+            table.clone(),
+            upstream.clone(),
+            SystemClock,
+            parse_config_with_keys,
+        );
+        let strict = started.await.expect("the addresses are free");
+        assert!(strict.apply_config("8".into()));
+        let announced = announcement(110, &"gallery".into(), 1, 1);
+        strict.apply_announcement(announced, &HoldReport::default());
+        let (status, body) = send_to_peer(callers).await;
+        assert_eq!(status, 503, "{body}");
+        assert!(body.contains("nodes-disagree"), "{body}");
+
+        let (other, _, _) = start_node(111, "gallery", &table).await;
+        assert!(other.apply_config("8".into()));
+        let pool = Pool::new(PoolSettings::default());
+        wait_until_served(&pool, callers, "/signs/1").await;
+        for _ in 0..20 {
+            assert_eq!(send_request(&pool, callers, "/signs/1").await.0, 200);
+        }
+        assert_eq!(upstream.runs.load(Ordering::SeqCst), 0);
+    });
+}
--- a/crates/router/tests/slow_peers.rs
+++ b/crates/router/tests/slow_peers.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
-use support::{CountingUpstream, addr, node_settings, parse_config, send_heartbeat};
+use support::{CountingUpstream, addr, node_settings, parse_config, presence, send_heartbeat};
 
 /// Guards against a node that acts on an earlier configuration because the peer that it
 /// asked for the newer one is slow: it asked no other until that fetch had timed out.
@@ -51,12 +51,12 @@
         smol::spawn(Server::default().run(good, ServerSettings::default(), handle)).detach();
 
         let socket = UdpSocket::bind(slow_addr).await.expect("it is free");
-        send_heartbeat(&socket, node, "slow", slow_addr).await;
+        send_heartbeat(&socket, node, &presence("slow", slow_addr)).await;
         let (is_asked, _rest) = asked.await;
         assert!(is_asked && !router.is_ready());
         let socket = UdpSocket::bind(good_addr).await.expect("it is free");
         while !router.is_ready() {
-            send_heartbeat(&socket, node, "good", good_addr).await;
+            send_heartbeat(&socket, node, &presence("good", good_addr)).await;
             smol::Timer::after(Duration::from_millis(20)).await;
         }
         assert!(!is_given_up.load(Ordering::SeqCst), "one after the other");
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -239,7 +239,12 @@
     (router, callers)
 }
 
-fn announcement(number: u8, service: &ServiceName, born_ms: i64, sequence: u64) -> Announcement {
+pub fn announcement(
+    number: u8,
+    service: &ServiceName,
+    born_ms: i64,
+    sequence: u64,
+) -> Announcement {
     Announcement {
         incarnation: UpstreamIncarnation {
             id: format!("upstream-{number}").into(),
@@ -285,9 +290,9 @@
     panic!("{path} was not served");
 }
 
-/// Tells a node by a heartbeat that a peer at `gate` has version 8 of the configuration.
-pub async fn send_heartbeat(socket: &UdpSocket, node: SocketAddr, name: &str, gate: SocketAddr) {
-    let presence = Presence {
+/// Returns the heartbeat of a peer at `gate` that has version 8 of the configuration.
+pub fn presence(name: &str, gate: SocketAddr) -> Presence {
+    Presence {
         node: name.to_owned(),
         incarnation: 1,
         sequence: 1,
@@ -304,8 +309,12 @@
         lease_version: 0,
         evacuations_version: None,
         evacuations: None,
-    };
-    let datagram = ibiscove_wire::encode(&presence).expect("the fields are valid");
+    }
+}
+
+/// Sends a heartbeat to a node.
+pub async fn send_heartbeat(socket: &UdpSocket, node: SocketAddr, presence: &Presence) {
+    let datagram = ibiscove_wire::encode(presence).expect("the fields are valid");
     let sent = socket.send_to(&datagram, node).await;
     sent.expect("the node's address can be reached");
 }
--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -3,9 +3,9 @@
 //! A non-idempotent request is retried only if its attempt certainly did not run
 //! and never will. An attempt that failed because its key had no owner is retried
 //! without charge while the request waits for a newer ownership map, and so is one
-//! that a gate refused as overloaded while another upstream may run it. Every other
-//! retry is charged to a budget that is a share of the requests, so that retries
-//! cannot amplify an overload.
+//! that a gate refused as overloaded, or by another configuration, while another
+//! upstream may run it. Every other retry is charged to a budget that is a share of the
+//! requests, so that retries cannot amplify an overload.
 
 use ibiscove_types::{Outcome, Reason};
 use std::time::Duration;
@@ -63,10 +63,13 @@
     if !may_retry {
         return RetryDecision::Stop;
     }
-    let is_refused_by_gate = matches!(failure.reason, Reason::Overloaded | Reason::Evacuated);
+    let is_refused_by_gate = matches!(
+        failure.reason,
+        Reason::Overloaded | Reason::Evacuated | Reason::NodesDisagree
+    );
     if is_refused_by_gate && failure.has_alternative {
         // The gate refused before the upstream received anything, and another
-        // upstream may have free capacity.
+        // upstream may have free capacity, or its node the entry's configuration.
         return RetryDecision::Retry {
             delay: Duration::ZERO,
             charged: false,
@@ -79,6 +82,7 @@
         | Reason::UpstreamUnreachable
         | Reason::UpstreamLost
         | Reason::UpstreamRefused
+        | Reason::NodesDisagree
         | Reason::NoUpstream
         | Reason::Sealed => true,
         _ => return RetryDecision::Stop,
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -112,6 +112,8 @@
     NoConfiguration => "no-configuration", 503;
     /// This node's configuration denies the request, and a newer one is known to exist.
     ConfigurationBehind => "configuration-behind", 503;
+    /// Another node reads the request in another way than its entry.
+    NodesDisagree => "nodes-disagree", 503;
     /// The request's body is longer than the limit.
     BodyTooLarge => "body-too-large", 413;
     /// The upstream rejected the fence.
