A name with DEL in a request's metadata reaches the gate

Cause: JSON leaves DEL as it is and a header value may not have it, so the metadata of all requests of a route with such a name were sent empty, and every gate on another node refused them.

Change: DEL is escaped, here and in the notices of upstreams, which carry the upstream's id.

Quotes, line ends, other control characters and letters beyond ASCII passed before as well.

--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -102,7 +102,10 @@
             crashes: self.crash_record,
             sent: self.sent,
         };
-        to.insert(FORWARD, headers::value(&serde_json::to_string(&fields)?));
+        to.insert(
+            FORWARD,
+            headers::json_value(&serde_json::to_string(&fields)?),
+        );
         Ok(())
     }
 
--- a/crates/proxy/src/headers.rs
+++ b/crates/proxy/src/headers.rs
@@ -109,6 +109,12 @@
     headers.get(name)?.to_str().ok()
 }
 
+/// Converts JSON to a header value. DEL is the only character that JSON may contain and a
+/// header value may not; it can only be part of a string.
+pub fn json_value(json: &str) -> HeaderValue {
+    value(&json.replace('\u{7f}', "\\u007f"))
+}
+
 /// Converts text to a header value; invalid text gives an empty value.
 pub fn value(text: &str) -> HeaderValue {
     HeaderValue::from_str(text).unwrap_or_else(|_| {
--- a/crates/proxy/src/upstream_notice.rs
+++ b/crates/proxy/src/upstream_notice.rs
@@ -86,7 +86,7 @@
     pub fn write(&self, to: &mut HeaderMap) {
         match serde_json::to_string(self) {
             Ok(text) => {
-                to.insert(UPSTREAM_NOTICE, headers::value(&text));
+                to.insert(UPSTREAM_NOTICE, headers::json_value(&text));
             }
             Err(err) => log::error!("a notice of the upstream is not reported: {err}"),
         }
