Metadata between nodes that can't be read is not a bad request

Cause: a gate's node answered 400, bad-header, to a forwarded request whose metadata it could not read, and the entry called metadata that it could not serialise a bad header of the caller. No caller has written either.

Change: nodes-disagree (503, not-run, place peer-metadata) with a line in the log, and internal at the entry.

Test: request_of_a_node_without_readable_metadata_is_not_a_bad_request; before: 400, bad-header. The entry's case has no test: nothing in the metadata can fail to be serialised today.

--- a/crates/proxy/src/entry/attempt.rs
+++ b/crates/proxy/src/entry/attempt.rs
@@ -204,7 +204,7 @@
             log::error!(
                 "the metadata of a request cannot be serialised; the request is refused: {err}"
             );
-            return Err(Refusal::not_run(Reason::BadHeader));
+            return Err(Refusal::not_run(Reason::Internal));
         }
         let max_idle = match plan.metadata.idempotent {
             true => deps.settings.max_idle,
--- a/crates/proxy/src/peer_api.rs
+++ b/crates/proxy/src/peer_api.rs
@@ -3,7 +3,7 @@
 
 use crate::forward::RequestMetadata;
 use crate::gate::{Gate, KeyOwnership, OutboundRequest, Permit};
-use crate::headers::{self, GATE_LOAD, OUTCOME};
+use crate::headers::{self, FORWARD, GATE_LOAD, OUTCOME};
 use crate::refusal::{Place, Refusal};
 use crate::relay::RelayedResponse;
 use crate::routes::ConfigCell;
@@ -118,9 +118,16 @@
         req: Request<Incoming>,
     ) -> Result<RelayedResponse<Permit<K, C>>, Refusal> {
         let (head, body) = req.into_parts();
-        let bad_header = Refusal::not_run(Reason::BadHeader).at(Place::PeerMetadata);
-        let metadata = metadata.ok_or(bad_header)?;
-        let path_and_query = head.uri.path_and_query().cloned().ok_or(bad_header)?;
+        // No caller has written what can't be read here.
+        let unreadable = || {
+            let metadata_bytes = head.headers.get(FORWARD).map_or(0, |value| value.len());
+            log::warn!(metadata_bytes = metadata_bytes;
+                "a forwarded request is refused, its metadata or path cannot be read");
+            Refusal::not_run(Reason::NodesDisagree).at(Place::PeerMetadata)
+        };
+        let metadata = metadata.ok_or_else(unreadable)?;
+        let path_and_query = head.uri.path_and_query().cloned();
+        let path_and_query = path_and_query.ok_or_else(unreadable)?;
         let mut forwarded_headers = head.headers;
         headers::remove_hop_by_hop(&mut forwarded_headers);
         headers::remove_internode(&mut forwarded_headers);
--- a/crates/router/tests/client_errors.rs
+++ b/crates/router/tests/client_errors.rs
@@ -205,3 +205,19 @@
         assert_eq!(upstream.runs.load(Ordering::SeqCst), 0);
     });
 }
+
+/// Guards against a 400 between nodes for metadata that can't be read: the caller has not
+/// sent it.
+#[test]
+fn request_of_a_node_without_readable_metadata_is_not_a_bad_request() {
+    smol::block_on(async {
+        let _node = start_entry(112, &MemoryPlatform::default()).await;
+        let pool = Pool::new(PoolSettings::default());
+        let (status, body) = send_request(&pool, addr(112, 7_401), "/signs/1").await;
+        assert_eq!(status, 503, "{body}");
+        assert!(
+            body.contains("nodes-disagree") && body.contains("not-run"),
+            "{body}"
+        );
+    });
+}
