An upstream's own headers are no verdict of its node

Cause: an entry read ibiscove-reason and ibiscove-outcome from any response of another node, and the gate passed an upstream's own headers of these names on. A request that had run and been answered 200 was refused by its entry with the upstream's word as the reason.

Test: headers_of_an_upstream_are_no_verdict_of_its_node; before: 502, no-owner, although the upstream had answered 200.

--- a/crates/proxy/src/gate/exchange.rs
+++ b/crates/proxy/src/gate/exchange.rs
@@ -107,6 +107,7 @@
             Refusal::unknown(Reason::UpstreamLost)
         })?;
         headers::remove_hop_by_hop(response.headers_mut());
+        headers::remove_verdict(response.headers_mut());
         Ok(response)
     }
 
--- a/crates/proxy/src/headers.rs
+++ b/crates/proxy/src/headers.rs
@@ -104,6 +104,14 @@
     }
 }
 
+/// Removes the headers by which only nodes tell of a request, from an upstream's response.
+pub fn remove_verdict(headers: &mut HeaderMap) {
+    remove_internode(headers);
+    for name in [OUTCOME, REASON] {
+        headers.remove(name);
+    }
+}
+
 /// Returns a header as text; none when it is absent or not text.
 pub fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
--- a/crates/proxy/src/refusal.rs
+++ b/crates/proxy/src/refusal.rs
@@ -190,6 +190,11 @@
     /// this node has found the request proper.
     pub fn from_response<B>(response: &Response<B>) -> Option<Self> {
         let from = response.headers();
+        let outcome = headers::text(from, &OUTCOME).and_then(Outcome::parse);
+        if outcome == Some(Outcome::Ran) {
+            // The gate's node says so of an upstream's response, whatever else that has.
+            return None;
+        }
         let word = headers::text(from, &REASON)?;
         let reason = match Reason::parse(word) {
             Some(reason) if blames_caller(reason) => {
@@ -198,7 +203,6 @@
             }
             reason => reason.unwrap_or(Reason::PeerLost),
         };
-        let outcome = headers::text(from, &OUTCOME).and_then(Outcome::parse);
         let millis = headers::text(from, &RETRY_AFTER_MS).and_then(|text| text.parse().ok());
         Some(Self {
             outcome: outcome.unwrap_or(Outcome::Unknown),
--- a/crates/router/tests/client_errors.rs
+++ b/crates/router/tests/client_errors.rs
@@ -221,3 +221,35 @@
         );
     });
 }
+
+/// Guards against a verdict of a node that is none: an upstream's own headers of these names
+/// made `not-run` of a request that had run.
+#[test]
+fn headers_of_an_upstream_are_no_verdict_of_its_node() {
+    smol::block_on(async {
+        let table = MemoryPlatform::default();
+        let (_router, callers, _) = start_entry(113, &table).await;
+        let (gallery, upstream, beside) = start_node(114, "gallery", &table).await;
+        assert!(gallery.apply_config("8".into()));
+        for (name, value) in [
+            ("ibiscove-outcome", "not-run"),
+            ("ibiscove-reason", "no-owner"),
+            ("ibiscove-refusal-place", "gate-queue"),
+        ] {
+            let name = HeaderName::from_static(name);
+            let mut notice = upstream.notice.lock().expect("no holder panics");
+            notice.insert(name, HeaderValue::from_static(value));
+        }
+        let pool = Pool::new(PoolSettings::default());
+        wait_until_served(&pool, beside, "/orders/1").await;
+        let (status, body) = send_to_peer(callers).await;
+        assert_eq!((status, &*body), (200, "done"));
+        let request = b"GET /signs/1 HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n\r\n";
+        for entry in [callers, beside] {
+            let answer = exchange_raw(entry, request).await.to_ascii_lowercase();
+            assert!(answer.starts_with("http/1.1 200 "), "{answer}");
+            assert!(!answer.contains("ibiscove-reason"), "{answer}");
+            assert!(!answer.contains("ibiscove-refusal-place"), "{answer}");
+        }
+    });
+}
