A request without a key goes to the part of a split route that needs none

Cause: the entry picked a service of a split route by weight, and then answered no-key or bad-header if that is divided and the request had no key that can be read, although another part would have served it.

Change: parts that the request cannot go to for lack of a key are left out of the choice; it is refused only if none is left. Weights of the other requests are as before.

--- a/crates/proxy/src/entry/plan.rs
+++ b/crates/proxy/src/entry/plan.rs
@@ -11,7 +11,7 @@
 use hyper::header::HOST;
 use hyper::http::uri::PathAndQuery;
 use ibiscove_routing::admission;
-use ibiscove_types::{BootClock, Clock, FingerprintParts, Key, Reason};
+use ibiscove_types::{BootClock, Clock, FingerprintParts, Key, Reason, ServiceName};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -52,11 +52,17 @@
             Some(id) => id.into(),
             None => format!("{:016x}", fastrand::u64(..)).into(),
         };
-        let service = route
-            .pick_service(fastrand::u64(..))
-            .ok_or(Refusal::not_run(Reason::NoUpstream))?;
+        let key = parse_key(&head.headers, names);
+        // Without a key, one part of a split route may still be able to serve the request.
+        let may_serve = |service: &ServiceName| key.is_ok() || !table.is_divided(service);
+        let picked = route.pick_service(fastrand::u64(..), may_serve);
+        let (service, key) = match (picked, key) {
+            (Some(service), key) => (service, key.ok()),
+            (None, Ok(_)) => return Err(Refusal::not_run(Reason::NoUpstream)),
+            (None, Err(refusal)) => return Err(refusal),
+        };
         let is_divided = table.is_divided(service);
-        let key = parse_key(&head.headers, names, is_divided)?;
+        let key = key.filter(|_| is_divided);
         let timeout: Option<u64> =
             headers::text(&head.headers, &names.deadline_ms).and_then(|text| text.parse().ok());
         let timeout = timeout.map_or(deps.settings.default_timeout, Duration::from_millis);
@@ -130,17 +136,8 @@
 /// Time after which a caller may retry at a node without a configuration.
 const NO_CONFIGURATION_RETRY_AFTER: Duration = Duration::from_millis(300);
 
-fn parse_key(
-    from: &HeaderMap,
-    names: &HeaderNames,
-    is_divided: bool,
-) -> Result<Option<Key>, Refusal> {
-    if !is_divided {
-        return Ok(None);
-    }
+fn parse_key(from: &HeaderMap, names: &HeaderNames) -> Result<Key, Refusal> {
     let text = headers::text(from, &names.key).ok_or(Refusal::not_run(Reason::NoKey))?;
-    let key = text
-        .parse()
-        .map_err(|_| Refusal::not_run(Reason::BadHeader))?;
-    Ok(Some(key))
+    text.parse()
+        .map_err(|_| Refusal::not_run(Reason::BadHeader))
 }
--- a/crates/proxy/src/routes.rs
+++ b/crates/proxy/src/routes.rs
@@ -60,18 +60,20 @@
 }
 
 impl Route {
-    /// Picks the service for a request by weight and a random number.
-    pub fn pick_service(&self, random: u64) -> Option<&ServiceName> {
-        let total: u64 = self
-            .shares
-            .iter()
-            .map(|share| u64::from(share.weight))
-            .sum();
+    /// Picks the service for a request by weight and a random number, among those that
+    /// `may_serve` it; none if no service with a weight may.
+    pub fn pick_service(
+        &self,
+        random: u64,
+        may_serve: impl Fn(&ServiceName) -> bool,
+    ) -> Option<&ServiceName> {
+        let shares = || self.shares.iter().filter(|share| may_serve(&share.service));
+        let total: u64 = shares().map(|share| u64::from(share.weight)).sum();
         if total == 0 {
-            return self.shares.first().map(|share| &share.service);
+            return None;
         }
         let mut point = random % total;
-        for share in &self.shares {
+        for share in shares() {
             let weight = u64::from(share.weight);
             if point < weight {
                 return Some(&share.service);
--- a/crates/router/tests/client_errors.rs
+++ b/crates/router/tests/client_errors.rs
@@ -6,7 +6,7 @@
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use ibiscove_http::{Body, Pool, PoolSettings, Server, ServerSettings};
 use ibiscove_proxy::HeaderNames;
-use ibiscove_proxy::routes::RouteTable;
+use ibiscove_proxy::routes::{Route, RouteTable, Share};
 use ibiscove_ranges::HoldReport;
 use ibiscove_router::Router;
 use ibiscove_store::MemoryPlatform;
@@ -253,3 +253,45 @@
         }
     });
 }
+
+/// Splits the route `signs` between a service without keys and one whose keys have an owner
+/// each.
+fn parse_split_config(text: &[u8]) -> Result<RouteTable, String> {
+    let table = parse_config(text)?;
+    let signs = table.find("a.example", "/signs/1").expect("it has a route");
+    let mut signs = Route::clone(signs);
+    signs.shares.push(Share {
+        service: "deposits".into(),
+        weight: 1,
+    });
+    RouteTable::new(table.version, vec![signs], table.services, table.limits)
+        .map_err(|err| err.to_string())
+}
+
+/// Guards against a 400 for a request without a key that one part of a split route can
+/// serve.
+#[test]
+fn request_without_a_key_goes_to_the_part_that_needs_none() {
+    smol::block_on(async {
+        let upstream = CountingUpstream::default();
+        let settings = node_settings(115, "gallery", upstream.serve().await);
+        let callers = settings.addrs.callers;
+        let started = Router::start(
+            settings,
+            HeaderNames::default(),
+            MemoryPlatform::default(),
+            upstream.clone(),
+            SystemClock,
+            parse_split_config,
+        );
+        let router = started.await.expect("the addresses are free");
+        assert!(router.apply_config("8".into()));
+        let announced = announcement(115, &"gallery".into(), 1, 1);
+        router.apply_announcement(announced, &HoldReport::default());
+        for _ in 0..40 {
+            let request = b"GET /signs/1 HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n\r\n";
+            let answer = exchange_raw(callers, request).await;
+            assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+        }
+    });
+}
