--- a/crates/proxy/src/entry/attempt.rs
+++ b/crates/proxy/src/entry/attempt.rs
@@ -204,7 +204,7 @@
             log::error!(
                 "the metadata of a request cannot be serialised; the request is refused: {err}"
             );
-            return Err(Refusal::not_run(Reason::BadHeader));
+            return Err(Refusal::not_run(Reason::Internal));
         }
         let max_idle = match plan.metadata.idempotent {
             true => deps.settings.max_idle,
@@ -278,6 +278,7 @@
             | Reason::UpstreamUnreachable
             | Reason::UpstreamLost
             | Reason::UpstreamRefused
+            | Reason::NodesDisagree
             | Reason::NoUpstream => in_flight.finish(true),
             _ => {}
         },
--- a/crates/proxy/src/headers.rs
+++ b/crates/proxy/src/headers.rs
@@ -104,11 +104,25 @@
     }
 }
 
+/// Removes the headers by which only nodes tell of a request, from an upstream's response.
+pub fn remove_verdict(headers: &mut HeaderMap) {
+    remove_internode(headers);
+    for name in [OUTCOME, REASON] {
+        headers.remove(name);
+    }
+}
+
 /// Returns a header as text; none when it is absent or not text.
 pub fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
 
+/// Converts JSON to a header value. DEL is the only character that JSON may contain and a
+/// header value may not; it can only be part of a string.
+pub fn json_value(json: &str) -> HeaderValue {
+    value(&json.replace('\u{7f}', "\\u007f"))
+}
+
 /// Converts text to a header value; invalid text gives an empty value.
 pub fn value(text: &str) -> HeaderValue {
     HeaderValue::from_str(text).unwrap_or_else(|_| {
