Spread: a missing text is fetched twice at a time at most

Cause: each push and each of two comparisons a second fetches a text that is missing, whether or not others are fetching it. Now that a long text may take as long as it makes progress, these fetches would pile up and share the link.

Change: two fetches of a text at a time; a comparison that finds it being fetched goes on without it.

--- a/crates/spread/src/anti_entropy.rs
+++ b/crates/spread/src/anti_entropy.rs
@@ -286,14 +286,17 @@
     settings: &SpreadSettings,
     addr: SocketAddr,
 ) -> Result<(), PeerError> {
-    let missing = replica.missing_texts().into_iter();
-    let keys: Vec<_> = missing
+    let fetches = replica.start_text_fetches();
+    let digests = fetches.digests.iter();
+    let keys: Vec<_> = digests
         .map(|digest| format!("{TEXT_PREFIX}{digest}"))
         .collect();
     if keys.is_empty() {
         return Ok(());
     }
-    for text in fetch(peers, addr, keys).await? {
+    let texts = fetch(peers, addr, keys).await;
+    drop(fetches);
+    for text in texts? {
         let completed = replica.supply_text(text.body.to_vec());
         push_rows(replica, peers, settings, &completed).await;
     }
--- a/crates/spread/src/replica.rs
+++ b/crates/spread/src/replica.rs
@@ -76,6 +76,14 @@
         self.state().texts.missing()
     }
 
+    /// Starts to fetch the missing texts that are not yet fetched often enough.
+    pub(crate) fn start_text_fetches(&self) -> TextFetches {
+        TextFetches {
+            replica: self.clone(),
+            digests: self.state().texts.start_fetches(),
+        }
+    }
+
     /// Stores a missing text, applies the rows that it completes, and returns
     /// those that were newer.
     pub fn supply_text(&self, text: Vec<u8>) -> Vec<ReplicatedRow> {
@@ -225,6 +233,18 @@
     }
 }
 
+/// Fetches of missing texts, which count until this is dropped.
+pub(crate) struct TextFetches {
+    replica: Replica,
+    pub(crate) digests: Vec<String>,
+}
+
+impl Drop for TextFetches {
+    fn drop(&mut self) {
+        self.replica.state().texts.end_fetches(&self.digests);
+    }
+}
+
 impl State {
     fn is_newer(&self, row: &ReplicatedRow) -> bool {
         let stored = self.rows.get(&row.key).map(|stored| stored.row.version);
--- a/crates/spread/src/texts.rs
+++ b/crates/spread/src/texts.rs
@@ -13,6 +13,10 @@
 /// Number of texts stored for peers to fetch. Older ones serve nodes that lag.
 const MAX_STORED_TEXTS: usize = 4;
 
+/// Fetches of one text at a time. Each of many pushes and comparisons may find that it is
+/// missing, and fetches of the same text share the link; one peer may be slow.
+const MAX_FETCHES_PER_TEXT: usize = 2;
+
 /// Texts by digest, and the rows whose text is missing.
 #[derive(Debug, Default)]
 pub(crate) struct Texts {
@@ -20,6 +24,8 @@
     stored: Vec<(String, Arc<[u8]>)>,
     /// By row key: the digest of the missing text, and the row.
     pending: BTreeMap<String, (String, ReplicatedRow)>,
+    /// Digests of the texts that are being fetched, once for each fetch.
+    fetching: Vec<String>,
 }
 
 impl Texts {
@@ -61,6 +67,26 @@
         pending.map(|(digest, _)| digest.clone()).collect()
     }
 
+    /// Returns the digests of the missing texts that may be fetched once more, and counts
+    /// these fetches until [`Self::end_fetches`].
+    pub(crate) fn start_fetches(&mut self) -> Vec<String> {
+        let mut digests = self.missing();
+        digests.retain(|digest| {
+            let fetches = self.fetching.iter().filter(|other| *other == digest);
+            fetches.count() < MAX_FETCHES_PER_TEXT
+        });
+        self.fetching.extend_from_slice(&digests);
+        digests
+    }
+
+    pub(crate) fn end_fetches(&mut self, digests: &[String]) {
+        for digest in digests {
+            if let Some(index) = self.fetching.iter().position(|other| other == digest) {
+                self.fetching.swap_remove(index);
+            }
+        }
+    }
+
     /// Stores a text that pending rows need, and returns those rows.
     pub(crate) fn supply(&mut self, text: Vec<u8>) -> Vec<ReplicatedRow> {
         let digest = content_digest(&text);
--- a/crates/spread/tests/all/replication.rs
+++ b/crates/spread/tests/all/replication.rs
@@ -2,9 +2,16 @@
 //! never decrease.
 
 use crate::cluster::{Cluster, NetworkFaults};
-use crate::support::{config_entry, live_entry, node, node_entry};
-use ibiscove_spread::Replica;
+use crate::support::{addr, config_entry, live_entry, node, node_entry};
+use ibiscove_spread::{Replica, SpreadSettings, propagate_rows};
 use ibiscove_types::NodeState;
+use ibiscove_wire::messages::{Entries, Request, Response};
+use ibiscove_wire::{PeerError, Peers};
+use smol::LocalExecutor;
+use smol::channel::Receiver;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use yare::parameterized;
 
 /// Time within which a change must be in force on every node, in seconds.
@@ -157,3 +164,48 @@
     let bytes = cluster.bytes();
     assert!(bytes * 10 < all_versions, "{bytes} of {all_versions} bytes");
 }
+
+/// A peer that answers no fetch until the test lets it.
+#[derive(Clone)]
+struct HeldPeer {
+    fetches: Arc<AtomicUsize>,
+    may_answer: Receiver<()>,
+}
+
+impl Peers for HeldPeer {
+    async fn call(&self, _addr: SocketAddr, req: Request) -> Result<Response, PeerError> {
+        if let Request::Fetch(_) = req {
+            self.fetches.fetch_add(1, Ordering::SeqCst);
+            let _ = self.may_answer.recv().await;
+        }
+        Ok(Response::Entries(Entries::new(Vec::new())))
+    }
+}
+
+/// Guards against a text that every push and every comparison fetches once more while it
+/// is still arriving, so that the fetches share the link and none comes to an end.
+#[test]
+fn a_text_is_fetched_twice_at_a_time_at_most() {
+    let replica = Replica::default();
+    replica.apply([config_entry(1, "# long", false)]);
+    let (tx, rx) = smol::channel::unbounded();
+    let fetches = Arc::new(AtomicUsize::new(0));
+    let peer = HeldPeer {
+        fetches: Arc::clone(&fetches),
+        may_answer: rx,
+    };
+    let settings = SpreadSettings::default();
+    let executor = LocalExecutor::new();
+    let start = || {
+        let task = propagate_rows(&replica, &peer, &settings, Some(addr(1)), &[]);
+        executor.spawn(task).detach();
+        while executor.try_tick() {}
+    };
+    (0..6).for_each(|_| start());
+    assert_eq!(fetches.load(Ordering::SeqCst), 2);
+    // One has ended without the text; another one takes its place.
+    tx.try_send(()).expect("fetches wait");
+    while executor.try_tick() {}
+    (0..6).for_each(|_| start());
+    assert_eq!(fetches.load(Ordering::SeqCst), 3);
+}
