Platform client: a long body may take as long as it makes progress

Cause: a call had 1 s for everything.

Change: the limit holds until the head of an answer and for silence within its body, with 32 KiB/s as the lowest mean rate. A request of more than 64 KiB gets the time that it takes at a tenth of the link on top.

Measured, with a timeout of 0.3 s and a server of 600 kB/s: a_long_object_is_read_however_long_it_takes and a_long_object_is_written_however_long_it_takes failed with "timeout" and pass. A body that stops or trickles failed soon before and does now.

--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -8,21 +8,33 @@
 //! failure of a write is reported as [`TableError::Unanswered`].
 
 use crate::{Commit, Objects, RawRow, Table, TableError, Transaction};
-use futures_lite::FutureExt;
+use futures_lite::{AsyncReadExt, FutureExt};
 use ibiscove_http::CheckedConnector;
+use ibiscove_io::{Transfer, TransferLimits};
 use ibiscove_types::RowVersion;
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, PercentEncode, utf8_percent_encode};
 use serde::{Deserialize, Serialize};
 use std::future::{Future, IntoFuture};
 use std::io;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use trillium_client::{Client, Conn, KnownHeaderName, Status};
 use trillium_http::ReceivedBody;
 use trillium_http::transport::BoxedTransport;
 
 /// Largest body of a response: the rows of a whole table.
 const MAX_BODY_BYTES: u64 = 10 << 20;
+/// Lowest mean rate of a response's body, in bytes per second: what one of some forty
+/// connections gets on a link of 10 Mbit/s.
+const MIN_RATE: u32 = 32 << 10;
+/// Length of a request's body, in bytes, above which it gets time to be sent: shorter
+/// ones take less than 0.1 s on a link of 10 Mbit/s.
+const LONG_REQUEST_BYTES: usize = 64 << 10;
+/// Rate at which a long request is sent, in bytes per second: a tenth of a link of
+/// 10 Mbit/s. Its progress can't be seen, for the kernel buffers it.
+const REQUEST_RATE: u32 = 128 << 10;
+/// Most bytes of a body that are read at a time.
+const PART_LEN: usize = 64 << 10;
 
 /// The request body of the transaction route.
 #[derive(Debug, Serialize, Deserialize)]
@@ -77,7 +89,7 @@
 pub struct HttpSettings {
     /// The platform's address.
     pub addr: SocketAddr,
-    /// Timeout of one call.
+    /// Longest time until the head of a response, and without progress of its body.
     pub timeout: Duration,
 }
 
@@ -111,23 +123,40 @@
         format!("http://{}{path}", self.settings.addr)
     }
 
-    /// Sends a request and reads the complete response.
+    /// Sends a request without a body and reads the complete response.
     async fn send(&self, conn: Conn) -> Result<PlatformResponse, TableError> {
-        let exchange = async {
-            let conn = conn.into_future().await.map_err(classify_error)?;
-            let status = conn.status().unwrap_or(Status::InternalServerError);
-            let etag = conn
-                .response_headers()
-                .get_str(KnownHeaderName::Etag)
-                .map(str::to_owned);
-            // A call that is dropped reads its body to the end, to use the connection
-            // again; a body that is dropped closes the connection.
-            let body = ReceivedBody::<'static, BoxedTransport>::from(conn);
-            let body = body.with_max_len(MAX_BODY_BYTES).read_bytes().await;
-            let body = body.map_err(|err| TableError::Unanswered(err.to_string()))?;
-            Ok(PlatformResponse { status, etag, body })
-        };
-        let response = with_timeout(self.settings.timeout, exchange).await?;
+        self.exchange(conn, self.settings.timeout).await
+    }
+
+    /// Sends a request with a body and reads the complete response.
+    async fn send_body(&self, conn: Conn, body: Vec<u8>) -> Result<PlatformResponse, TableError> {
+        let mut timeout = self.settings.timeout;
+        if body.len() > LONG_REQUEST_BYTES {
+            timeout += Duration::from_secs_f64(body.len() as f64 / f64::from(REQUEST_RATE));
+        }
+        self.exchange(conn.with_body(body), timeout).await
+    }
+
+    /// Sends a request, waits for `timeout` until the head of its response, and then reads
+    /// the body while it makes progress.
+    async fn exchange(
+        &self,
+        conn: Conn,
+        timeout: Duration,
+    ) -> Result<PlatformResponse, TableError> {
+        let sending = async { conn.into_future().await.map_err(classify_error) };
+        let conn = with_timeout(timeout, sending).await?;
+        let status = conn.status().unwrap_or(Status::InternalServerError);
+        let etag = conn
+            .response_headers()
+            .get_str(KnownHeaderName::Etag)
+            .map(str::to_owned);
+        // A call that is dropped reads its body to the end, to use the connection
+        // again; a body that is dropped closes the connection.
+        let body = ReceivedBody::<'static, BoxedTransport>::from(conn);
+        let body = read_body(body.with_max_len(MAX_BODY_BYTES), self.settings.timeout).await;
+        let body = body.map_err(|err| TableError::Unanswered(err.to_string()))?;
+        let response = PlatformResponse { status, etag, body };
         match response.status {
             Status::ServiceUnavailable => Err(TableError::Unavailable("status 503".to_owned())),
             Status::NotFound | Status::PreconditionFailed => Ok(response),
@@ -144,13 +173,12 @@
     ) -> Result<Commit, TableError> {
         let conn = self
             .client
-            .put(self.url(&format!("/table/{}", encode(key))))
-            .with_body(body);
+            .put(self.url(&format!("/table/{}", encode(key))));
         let conn = match version {
             Some(version) => conn.with_request_header(KnownHeaderName::IfMatch, etag(version)),
             None => conn.with_request_header(KnownHeaderName::IfNoneMatch, "*"),
         };
-        let response = self.send(conn).await?;
+        let response = self.send_body(conn, body).await?;
         match response.status {
             Status::PreconditionFailed => Ok(Commit::Conflict(key.to_owned())),
             _ => Ok(Commit::Done(vec![
@@ -162,8 +190,13 @@
     async fn transact(&self, txn: Transaction) -> Result<Commit, TableError> {
         let body = TransactionBody::try_from(txn)?;
         let body = serde_json::to_vec(&body).map_err(|e| malformed_response(e.to_string()))?;
-        let conn = self.client.post(self.url("/transactions")).with_body(body);
-        match self.send(conn).await?.ensure_success()?.parse_json()? {
+        let conn = self.client.post(self.url("/transactions"));
+        match self
+            .send_body(conn, body)
+            .await?
+            .ensure_success()?
+            .parse_json()?
+        {
             CommitBody::Versions(versions) => Ok(Commit::Done(versions)),
             CommitBody::Conflict(key) => Ok(Commit::Conflict(key)),
         }
@@ -235,6 +268,35 @@
     }
 }
 
+/// Reads a body that does not go silent for `silence` and keeps up [`MIN_RATE`].
+async fn read_body(
+    mut body: ReceivedBody<'static, BoxedTransport>,
+    silence: Duration,
+) -> io::Result<Vec<u8>> {
+    let limits = TransferLimits {
+        silence,
+        min_rate: MIN_RATE,
+    };
+    let mut transfer = Transfer::new(limits, Instant::now());
+    let mut bytes = Vec::new();
+    let mut part = vec![0; PART_LEN];
+    loop {
+        let stalled = async {
+            smol::Timer::at(transfer.deadline()).await;
+            Err(io::ErrorKind::TimedOut.into())
+        };
+        let read = body.read(&mut part).or(stalled).await?;
+        if read == 0 {
+            return Ok(bytes);
+        }
+        transfer.record(read, Instant::now());
+        bytes.extend_from_slice(&part[..read]);
+        if bytes.len() as u64 > MAX_BODY_BYTES {
+            return Err(io::ErrorKind::FileTooLarge.into());
+        }
+    }
+}
+
 async fn with_timeout<A>(
     limit: Duration,
     call: impl Future<Output = Result<A, TableError>>,
@@ -333,9 +395,8 @@
     async fn put(&self, name: &str, body: Vec<u8>) -> Result<(), TableError> {
         let conn = self
             .client
-            .put(self.url(&format!("/objects/{}", encode(name))))
-            .with_body(body);
-        self.send(conn).await?.ensure_success().map(drop)
+            .put(self.url(&format!("/objects/{}", encode(name))));
+        self.send_body(conn, body).await?.ensure_success().map(drop)
     }
 
     async fn fetch(&self, name: &str) -> Result<Option<Vec<u8>>, TableError> {
--- a/crates/store/tests/http_faults.rs
+++ b/crates/store/tests/http_faults.rs
@@ -7,7 +7,7 @@
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::mpsc::Receiver;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use yare::parameterized;
 
 /// The kind of a call's result.
@@ -207,3 +207,78 @@
     let max_sent = (60 << 20) + buffers;
     assert!(sent.is_ok_and(|sent| sent < max_sent), "{sent:?}");
 }
+
+/// Starts a server behind a link of `rate` bytes per second, which reads a request's
+/// body, answers with a row of `len` bytes, and falls silent `stop_at` bytes into it.
+fn paced_server(len: usize, rate: usize, stop_at: usize) -> SocketAddr {
+    const STEP: Duration = Duration::from_millis(20);
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+    let addr = listener.local_addr().expect("a bound address");
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("the client connects");
+        let mut head = Vec::new();
+        let mut byte = [0];
+        while !head.ends_with(b"\r\n\r\n") && stream.read(&mut byte)? > 0 {
+            head.extend_from_slice(&byte);
+        }
+        let head = String::from_utf8_lossy(&head).to_lowercase();
+        if head.contains("expect: 100-continue") {
+            stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n")?;
+        }
+        let length = head.split("content-length: ").nth(1);
+        let length = length.and_then(|rest| rest.lines().next()?.trim().parse().ok());
+        let mut unread: usize = length.unwrap_or(0);
+        let mut part = vec![0; (rate / 50).max(1)];
+        while unread > 0 {
+            let wanted = unread.min(part.len());
+            stream.read_exact(&mut part[..wanted])?;
+            unread -= wanted;
+            std::thread::sleep(STEP);
+        }
+        let answer = format!("HTTP/1.1 200 OK\r\nETag: \"1\"\r\nContent-Length: {len}\r\n\r\n");
+        stream.write_all(answer.as_bytes())?;
+        let body = vec![b'a'; len.min(stop_at)];
+        for part in body.chunks(part.len()) {
+            stream.write_all(part)?;
+            std::thread::sleep(STEP);
+        }
+        // The client closes the connection once it has read all, or given up.
+        stream.read(&mut part)
+    });
+    addr
+}
+
+/// A text of 2,800 routes.
+const TEXT_LEN: usize = 672_000;
+
+/// Guards against a long text that is given up after the timeout of a call, read again
+/// from the start, and never has time to arrive: here it takes 1.1 s.
+#[test]
+fn a_long_object_is_read_however_long_it_takes() {
+    let addr = paced_server(TEXT_LEN, 600_000, usize::MAX);
+    let read = smol::block_on(client(addr, 300).fetch("a"));
+    let len = read.map(|body| body.map(|body| body.len()));
+    assert_eq!(len, Ok(Some(TEXT_LEN)));
+}
+
+/// The same for a long text that is written.
+#[test]
+fn a_long_object_is_written_however_long_it_takes() {
+    let addr = paced_server(0, 600_000, usize::MAX);
+    let written = smol::block_on(client(addr, 300).put("a", vec![b'a'; TEXT_LEN]));
+    assert_eq!(written, Ok(()));
+}
+
+/// A body that stops, or trickles, ends about as soon as a call without a response.
+#[parameterized(
+    stops = { 600_000, 100_000 },
+    trickles = { 1_000, usize::MAX },
+)]
+fn a_body_without_progress_fails_soon(rate: usize, stop_at: usize) {
+    let addr = paced_server(TEXT_LEN, rate, stop_at);
+    let started = Instant::now();
+    let read = smol::block_on(client(addr, 300).fetch("a"));
+    assert_eq!(kind_of(&read), ResultKind::Unanswered);
+    let took = started.elapsed();
+    assert!(took < Duration::from_millis(900), "failed after {took:?}");
+}
