Tests: the support's requests read long answers to their end

Cause: send_request dropped the connection before it read the body, so that an answer which had not arrived whole with its head failed with IncompleteMessage.

Change: the connection is kept until the body is read.

--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -266,7 +266,12 @@
     *req.uri_mut() = path.parse().expect("the path is valid");
     *req.headers_mut() = headers;
     let sent = pool.send(addr, req, Duration::from_secs(1)).await;
-    let Exchange { response, .. } = sent.expect("the node responds");
+    // The body ends when the connection is dropped.
+    let Exchange {
+        response,
+        connection: _connection,
+        ..
+    } = sent.expect("the node responds");
     let status = response.status().as_u16();
     let body = read_whole(response.into_body(), 1 << 20)
         .await
