--- a/crates/router/tests/narrow_links.rs
+++ b/crates/router/tests/narrow_links.rs
@@ -5,9 +5,17 @@
 
 mod support;
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
-use support::narrow_links::{LargeConfig, Network, NetworkRouter, Stopping};
+use ibiscove_http::{Pool, PoolSettings};
+use smol::io::AsyncWriteExt;
+use smol::net::TcpStream;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use support::narrow_links::{LargeConfig, Network, NetworkRouter, NodeIndex, RunningNetwork};
+use support::raw::{Head, read_head, serve_raw};
+use support::{send_request, wait_until_served};
+use yare::parameterized;
 
 /// Rate of each link in bytes a second: 10 Mbit/s.
 const LINK_RATE: f64 = 1_250_000.0;
@@ -25,26 +33,51 @@
 }
 
 /// Starts a network with a configuration in force on all nodes, which no node has sent.
-async fn start(number: u8, first: &LargeConfig) -> (Network, Vec<NetworkRouter>, Stopping) {
-    let network = Network::new(number, NODES, LINK_RATE).await;
+async fn start(
+    number: u8,
+    count: usize,
+    first: &LargeConfig,
+) -> (RunningNetwork, Vec<NetworkRouter>) {
+    let network = Network::start(number, count, LINK_RATE).await;
     let routers = network.start_all(None).await;
+    settle(&network, &routers, first).await;
+    (network, routers)
+}
+
+/// Puts a first configuration in force on all nodes without sending it.
+async fn settle(network: &Network, routers: &[NetworkRouter], first: &LargeConfig) {
+    apply_apart(network, routers, first, 1).await;
+    network.set_all_cut(false);
+}
+
+/// Cuts all nodes off and applies a configuration at some of them.
+async fn apply_apart(
+    network: &Network,
+    routers: &[NetworkRouter],
+    config: &LargeConfig,
+    version: u64,
+) {
     network.set_all_cut(true);
-    for router in &routers {
-        assert!(router.apply_config(first.text(1)));
+    for router in routers {
+        assert!(router.apply_config(config.text(version)));
     }
-    let settled = network.wait_for_config(1, TARGET).await;
-    settled.expect("each node has it");
-    network.set_all_cut(false);
-    (network.clone(), routers, Stopping(network))
+    let nodes = 0..routers.len();
+    let applied = network.wait_for_config(nodes, version, TARGET).await;
+    applied.expect("each node has it");
+}
+
+/// Returns the nodes that follow the source of the configuration.
+fn followers(routers: &[NetworkRouter]) -> Vec<NodeIndex> {
+    let mut nodes: Vec<_> = (0..routers.len()).collect();
+    nodes.retain(|node| routers[*node].follows_config());
+    assert!(nodes.len() >= 3, "{nodes:?}");
+    nodes
 }
 
 /// Applies a configuration at the nodes that follow its source.
 fn apply(routers: &[NetworkRouter], config: &LargeConfig, version: u64) {
-    let mut followers: Vec<_> = routers.iter().collect();
-    followers.retain(|router| router.follows_config());
-    assert_eq!(followers.len(), 3, "each knows the others");
-    for router in followers {
-        router.apply_config(config.text(version));
+    for node in followers(routers) {
+        routers[node].apply_config(config.text(version));
     }
 }
 
@@ -54,11 +87,15 @@
 fn large_configuration_reaches_all_nodes_on_narrow_links() {
     let _alone = alone();
     smol::block_on(async {
-        let (network, routers, _stopping) = start(130, &LargeConfig::new(1)).await;
-        apply(&routers, &LargeConfig::new(ROUTES), 2);
-        let took = network.wait_for_config(2, TARGET).await;
-        println!("{took:?}, {} bytes", network.sent_by_all());
+        let (network, routers) = start(130, NODES, &LargeConfig::new(1)).await;
+        let config = LargeConfig::new(ROUTES);
+        apply(&routers, &config, 2);
+        let took = network.wait_for_config(0..NODES, 2, TARGET).await;
+        let sent = network.sent_by_all();
+        println!("{took:?}, {sent} bytes");
         took.expect("in force everywhere in time");
+        let once_each = NODES * config.text(2).len();
+        assert!(sent < once_each as u64, "{sent} bytes were sent");
     });
 }
 
@@ -68,15 +105,204 @@
     let _alone = alone();
     smol::block_on(async {
         let mut config = LargeConfig::new(ROUTES);
-        let (network, routers, _stopping) = start(131, &config).await;
-        let before = network.sent_by_all();
+        let (network, routers) = start(131, NODES, &config).await;
         config.change_route(ROUTES / 2);
         apply(&routers, &config, 2);
-        let took = network.wait_for_config(2, TARGET).await;
-        let sent = network.sent_by_all() - before;
+        let took = network.wait_for_config(0..NODES, 2, TARGET).await;
+        let sent = network.sent_by_all();
         println!("{took:?}, {sent} bytes");
         took.expect("in force everywhere in time");
         let whole = NODES * config.text(2).len();
         assert!(sent < whole as u64 / 10, "{sent} bytes were sent");
     });
 }
+
+/// Guards against transfers that newer versions overtake, so that none of them ends.
+#[test]
+fn changes_of_a_large_configuration_in_quick_succession_reach_all_nodes() {
+    const LAST: u64 = 6;
+    let _alone = alone();
+    smol::block_on(async {
+        let mut config = LargeConfig::new(ROUTES);
+        let (network, routers) = start(132, NODES, &config).await;
+        for version in 2..=LAST {
+            config.change_route(ROUTES / LAST as usize * version as usize - 1);
+            apply(&routers, &config, version);
+            smol::Timer::after(Duration::from_millis(150)).await;
+        }
+        let took = network.wait_for_config(0..NODES, LAST, TARGET).await;
+        let sent = network.sent_by_all();
+        println!("{took:?}, {sent} bytes");
+        took.expect("in force everywhere in time");
+        let whole = NODES * config.text(LAST).len();
+        assert!(sent < whole as u64 / 2, "{sent} bytes were sent");
+    });
+}
+
+/// Guards against a node that missed some versions and fetches all of the last one, most
+/// of which it has.
+#[test]
+fn node_that_was_cut_off_fetches_only_what_has_changed() {
+    const CUT: NodeIndex = NODES - 1;
+    let _alone = alone();
+    smol::block_on(async {
+        let mut config = LargeConfig::new(ROUTES);
+        let (network, routers) = start(133, NODES, &config).await;
+        for version in 2..=4 {
+            config.change_route(ROUTES / 5 * version as usize);
+            apply_apart(&network, &routers[..CUT], &config, version).await;
+        }
+        network.set_all_cut(false);
+        let took = network.wait_for_config(0..NODES, 4, TARGET).await;
+        let received = network.received(CUT);
+        println!("{took:?}, {received} bytes");
+        took.expect("in force everywhere in time");
+        let whole = config.text(4).len() as u64;
+        assert!(received < whole / 4, "{received} bytes were received");
+    });
+}
+
+/// Guards against a transfer that begins anew at another peer when the first one goes away.
+#[test]
+fn what_has_arrived_from_a_lost_peer_is_not_fetched_again() {
+    const LOST: NodeIndex = 0;
+    const OTHER: NodeIndex = 1;
+    const RECEIVER: NodeIndex = 2;
+    let _alone = alone();
+    smol::block_on(async {
+        let (network, routers) = start(134, 3, &LargeConfig::new(1)).await;
+        let config = LargeConfig::new(ROUTES);
+        let whole = config.text(2).len() as u64;
+        apply_apart(&network, &routers[..RECEIVER], &config, 2).await;
+        network.cut_after(LOST, whole * 3 / 5);
+        network.set_cut(LOST, false);
+        network.set_cut(RECEIVER, false);
+        let started = Instant::now();
+        while !network.is_cut(LOST) {
+            assert!(started.elapsed() < TARGET, "the transfer has begun");
+            smol::Timer::after(Duration::from_millis(5)).await;
+        }
+        network.set_cut(OTHER, false);
+        let took = network.wait_for_config(0..3, 2, TARGET).await;
+        let received = network.received(RECEIVER);
+        println!("{took:?}, {received} bytes of {whole}");
+        took.expect("in force everywhere in time");
+        // What was under way when the peer went away is lost.
+        assert!(received < whole * 5 / 4, "{received} bytes were received");
+    });
+}
+
+/// Guards against a restarted node that competes with itself for its link, and against one
+/// that waits for the store.
+#[parameterized(
+    beside_the_store = { 135, false },
+    while_the_store_is_away = { 136, true },
+)]
+fn restarted_node_gets_a_large_configuration_from_its_peers(number: u8, is_store_away: bool) {
+    const RESTARTED: NodeIndex = 5;
+    let _alone = alone();
+    smol::block_on(async {
+        let config = LargeConfig::new(ROUTES);
+        let (network, _routers) = start(number, NODES, &config).await;
+        network.replace(RESTARTED).await;
+        let table = network.directory(RESTARTED).await;
+        table.is_away.store(is_store_away, Ordering::SeqCst);
+        let _router = network.start_node(RESTARTED, table, None).await;
+        let took = network.wait_for_config(0..NODES, 1, TARGET).await;
+        let received = network.received(RESTARTED);
+        println!("{took:?}, {received} bytes");
+        took.expect("in force everywhere in time");
+        let whole = config.text(1).len() as u64;
+        assert!(received < whole * 9 / 8, "{received} bytes were received");
+    });
+}
+
+/// Bytes of an upstream's answer.
+const ANSWER_BYTES: usize = 25_000;
+/// Time between the requests of a caller. Two callers use four tenths of a link.
+const CALL_INTERVAL: Duration = Duration::from_millis(100);
+/// Longest time that half of the requests may take: an answer takes 40 ms on half of a link,
+/// and waits for a few blocks of other connections, 12 ms each.
+const MEDIAN_LATENCY: Duration = Duration::from_millis(100);
+/// Longest time that any may take: half of the route's timeout.
+const MAX_LATENCY: Duration = Duration::from_millis(250);
+
+/// Answers all requests of a connection with [`ANSWER_BYTES`].
+async fn serve_answers(mut stream: TcpStream) {
+    let body = "a".repeat(ANSWER_BYTES);
+    while let Some(Head { request_id, .. }) = read_head(&mut stream).await {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nIbiscove-Request-Id: {request_id}\r\n\
+             Content-Length: {ANSWER_BYTES}\r\n\r\n"
+        );
+        if stream
+            .write_all(format!("{head}{body}").as_bytes())
+            .await
+            .is_err()
+        {
+            return;
+        }
+    }
+}
+
+/// Sends requests until it is stopped; returns how long each took. All must be served.
+async fn call(entry: SocketAddr, is_stopped: Arc<AtomicBool>) -> Vec<Duration> {
+    let pool = Pool::new(PoolSettings::default());
+    let mut calls = Vec::new();
+    while !is_stopped.load(Ordering::SeqCst) {
+        let started = Instant::now();
+        let (status, _) = send_request(&pool, entry, "/signs/1").await;
+        assert_eq!(status, 200, "after {:?}", started.elapsed());
+        calls.push(started.elapsed());
+        smol::Timer::at(started + CALL_INTERVAL).await;
+    }
+    calls
+}
+
+/// Guards against transfers that leave callers nothing of a link: of the node that sends
+/// the configuration, and of one that receives it.
+#[test]
+fn callers_are_not_slowed_while_a_large_configuration_spreads() {
+    const UPSTREAM: NodeIndex = 1;
+    let _alone = alone();
+    smol::block_on(async {
+        let network = Network::start(137, NODES, LINK_RATE).await;
+        let upstream = serve_raw(serve_answers).await;
+        let routers = network.start_all(Some((UPSTREAM, upstream))).await;
+        settle(&network, &routers, &LargeConfig::new(1)).await;
+        let followers = followers(&routers);
+        assert!(followers.contains(&UPSTREAM), "it sends the configuration");
+        let sending = followers.iter().find(|node| **node != UPSTREAM);
+        let receiving = (0..NODES).find(|node| !followers.contains(node));
+        let pool = Pool::new(PoolSettings::default());
+        let is_stopped = Arc::new(AtomicBool::new(false));
+        let mut callers = Vec::new();
+        for entry in [
+            *sending.expect("there are three"),
+            receiving.expect("there are more"),
+        ] {
+            wait_until_served(&pool, network.callers(entry), "/signs/1").await;
+            callers.push(smol::spawn(call(
+                network.callers(entry),
+                Arc::clone(&is_stopped),
+            )));
+        }
+        let applied = Instant::now();
+        apply(&routers, &LargeConfig::new(ROUTES), 2);
+        let took = network.wait_for_config(0..NODES, 2, TARGET).await;
+        smol::Timer::at(applied + CALL_INTERVAL * 10).await;
+        is_stopped.store(true, Ordering::SeqCst);
+        let mut calls = Vec::new();
+        for caller in callers {
+            calls.push(caller.await);
+        }
+        println!("{took:?}, latencies {calls:?}");
+        for latencies in &mut calls {
+            latencies.sort();
+            let median = latencies[latencies.len() / 2];
+            assert!(median < MEDIAN_LATENCY, "{latencies:?}");
+            assert!(latencies.last() < Some(&MAX_LATENCY), "{latencies:?}");
+        }
+        took.expect("in force everywhere in time");
+    });
+}
--- a/crates/router/tests/support/narrow_links.rs
+++ b/crates/router/tests/support/narrow_links.rs
@@ -22,6 +22,7 @@
 use smol::net::{TcpListener, TcpStream, UdpSocket};
 use std::collections::BTreeSet;
 use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr};
+use std::ops::{Deref, Range};
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, Once};
 use std::time::{Duration, Instant};
@@ -134,12 +135,30 @@
 #[derive(Clone)]
 pub struct Network(Arc<Inner>);
 
+/// Cuts all nodes off when dropped: their processes can't be ended, and would load the
+/// machine during the next test.
+pub struct RunningNetwork(Network);
+
+impl Deref for RunningNetwork {
+    type Target = Network;
+
+    fn deref(&self) -> &Network {
+        &self.0
+    }
+}
+
+impl Drop for RunningNetwork {
+    fn drop(&mut self) {
+        self.set_all_cut(true);
+    }
+}
+
 pub type NetworkRouter = Router<Directory, CountingUpstream, SystemClock>;
 
 impl Network {
     /// Creates one in addresses that begin with 127 and `number`, whose links carry
     /// `bytes_per_sec` in each direction.
-    pub async fn new(number: u8, count: usize, bytes_per_sec: f64) -> Self {
+    pub async fn start(number: u8, count: usize, bytes_per_sec: f64) -> RunningNetwork {
         static RUNNING: Once = Once::new();
         RUNNING.call_once(|| {
             std::thread::spawn(|| smol::block_on(RELAYS.run(smol::future::pending::<()>())));
@@ -179,7 +198,7 @@
                 .spawn(network.clone().relay_heartbeats(from, to))
                 .detach();
         }
-        network
+        RunningNetwork(network)
     }
 
     fn listen_ip(&self, node: NodeIndex) -> IpAddr {
@@ -286,9 +305,11 @@
     }
 
     /// Separates a node's process from the network, so that another can be started.
-    pub fn replace(&self, node: NodeIndex) {
+    pub async fn replace(&self, node: NodeIndex) {
         let state = &self.0.nodes[node];
         state.restarts.fetch_add(1, Ordering::SeqCst);
+        // A heartbeat of the old process may just be on its way through the relay.
+        smol::Timer::after(POLL_INTERVAL * 4).await;
         state.config_version.store(0, Ordering::SeqCst);
     }
 
@@ -312,30 +333,29 @@
         (0..self.0.nodes.len()).map(|node| self.sent(node)).sum()
     }
 
-    /// Waits until a version is in force on all nodes; returns after which time it was, or
+    /// Waits until a version is in force on some nodes; returns after which time it was, or
     /// which nodes have which older one after `limit`.
-    pub async fn wait_for_config(&self, version: u64, limit: Duration) -> Result<Duration, String> {
+    pub async fn wait_for_config(
+        &self,
+        nodes: Range<NodeIndex>,
+        version: u64,
+        limit: Duration,
+    ) -> Result<Duration, String> {
         let started = Instant::now();
         loop {
             let elapsed = started.elapsed();
-            let versions = self
-                .0
-                .nodes
-                .iter()
-                .map(|node| node.config_version.load(Ordering::SeqCst));
-            let behind: Vec<_> = versions
-                .enumerate()
-                .filter(|(_, known)| *known < version)
-                .collect();
+            let known = |node: NodeIndex| self.0.nodes[node].config_version.load(Ordering::SeqCst);
+            let versions = nodes.clone().map(|node| (node, known(node)));
+            let behind: Vec<_> = versions.filter(|(_, known)| *known < version).collect();
             if behind.is_empty() {
                 return Ok(elapsed);
             }
             if elapsed >= limit {
-                let total = self.0.nodes.len();
                 return Err(format!(
-                    "after {elapsed:.1?} version {version} is not in force on {} of {total} nodes \
+                    "after {elapsed:.1?} version {version} is not in force on {} of {} nodes \
                      (node, version in force): {behind:?}; {} bytes were sent",
                     behind.len(),
+                    nodes.len(),
                     self.sent_by_all()
                 ));
             }
@@ -437,16 +457,6 @@
     }
 }
 
-/// Cuts all nodes off when dropped: their processes can't be ended, and would load the
-/// machine during the next test.
-pub struct Stopping(pub Network);
-
-impl Drop for Stopping {
-    fn drop(&mut self) {
-        self.0.set_all_cut(true);
-    }
-}
-
 fn name(node: NodeIndex) -> String {
     format!("node-{node}")
 }
