Range maps and crash records travel in pages, each kept as it arrives

Cause: a fetch had 0.8 s for the whole of a response whose size has no bound, and lost all that had arrived when the time was over. Over a slow link the next attempt, at another peer, began anew and failed in the same way.

Change: responses with sections of a map and with crash records are pages of 64 KiB, larger only if a single section is. The header ibiscove-more-pages says that more follow. The receiver applies each page at once and asks for the rest, by its newer epochs or after the last fingerprint, so a fetch that fails goes on at another peer where it stood. The limit is 0.8 s of silence, and for the whole transfer 1.6 s more than its bytes take at 16 KB/s. A section that the receiver cannot use is not asked for again within a fetch, or each page would begin with it. Nodes without pages ignore the query, send everything at once (accepted up to 4 MiB), and get all crash records at once.

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -364,7 +364,7 @@
 }
 
 /// Returns the next bytes of a body; none at its end. Trailers are not forwarded.
-async fn next_data(
+pub async fn next_data(
     body: &mut (impl HttpBody<Data = Bytes, Error = hyper::Error> + Unpin),
 ) -> Result<Option<Bytes>, hyper::Error> {
     while let Some(frame) = body.frame().await {
--- a/crates/proxy/src/headers.rs
+++ b/crates/proxy/src/headers.rs
@@ -22,6 +22,10 @@
 /// On a refusal between nodes: milliseconds until there is free capacity.
 pub const RETRY_AFTER_MS: HeaderName = HeaderName::from_static("ibiscove-retry-after-ms");
 
+/// On a node's response: `1` if it is a page that more follow. Nodes without pages
+/// respond with everything at once, and without this header.
+pub const MORE_PAGES: HeaderName = HeaderName::from_static("ibiscove-more-pages");
+
 /// Names of the headers that a deployment may choose.
 #[derive(Clone, Debug)]
 pub struct HeaderNames {
--- a/crates/proxy/src/peer_api.rs
+++ b/crates/proxy/src/peer_api.rs
@@ -14,10 +14,12 @@
 use ibiscove_http::Body;
 use ibiscove_http::body::{BodyBudget, read_within_budget};
 use ibiscove_ranges::RangeMaps;
-use ibiscove_types::{BootClock, Clock, Outcome, Reason};
+use ibiscove_types::{BootClock, Clock, Outcome, Reason, parse_fingerprint};
+use page::Page;
 use serde::Serialize;
 
 mod fetch;
+mod page;
 
 pub use fetch::{FetchError, fetch_config, fetch_map, fetch_suspects};
 
@@ -29,6 +31,9 @@
 /// Path under which a node serves what it knows of requests beside which upstreams
 /// have crashed.
 const SUSPECTS_PATH: &str = "/_ibiscove/suspects";
+/// Query for the page of crash records after a fingerprint, or for the first page if
+/// none follows.
+const AFTER_QUERY: &str = "after=";
 /// Largest body of a request of another node.
 const MAX_BODY_BYTES: usize = 64 << 20;
 
@@ -61,10 +66,12 @@
             };
         }
         if let Some(service) = path.strip_prefix(RANGES_PATH) {
-            return self.map_updates(service, req.uri().query().unwrap_or_default());
+            let epochs = parse_epochs(req.uri().query().unwrap_or_default());
+            let updates = self.maps.updates_since(service, &epochs);
+            return self.respond_page("range map", updates).await;
         }
         if path == SUSPECTS_PATH {
-            return respond_json("suspects", &self.suspects.records());
+            return self.crash_records(req.uri().query()).await;
         }
         let mut metadata = RequestMetadata::read(req.headers(), self.clock.now());
         if let Some(metadata) = &mut metadata {
@@ -126,21 +133,32 @@
         self.gate.run(&metadata, &outbound).await
     }
 
-    /// Responds with the sections of a service's map that are newer than the
-    /// epochs in the query.
-    fn map_updates<G>(&self, service: &str, query: &str) -> Response<Body<G>> {
-        let updates = self.maps.updates_since(service, &parse_epochs(query));
-        respond_json("range map", &updates)
+    /// Responds with crash records: a page of them, or all to a node that does not ask
+    /// for a page and would not ask for the next one.
+    async fn crash_records<G>(&self, query: Option<&str>) -> Response<Body<G>> {
+        let after = query.and_then(|query| query.strip_prefix(AFTER_QUERY));
+        let records = self
+            .suspects
+            .records_after(after.and_then(parse_fingerprint));
+        match after {
+            Some(_) => self.respond_page("suspects", records.into_iter()).await,
+            None => self.respond(Page::of_all("suspects", &records)).await,
+        }
+    }
+
+    async fn respond_page<G, T: Serialize>(
+        &self,
+        what: &str,
+        items: impl Iterator<Item = T>,
+    ) -> Response<Body<G>> {
+        let page = Page::of_first(what, items);
+        self.respond(page).await
     }
-}
 
-/// Responds to another node with `content`, named by `what` in the log.
-fn respond_json<G>(what: &str, content: &impl Serialize) -> Response<Body<G>> {
-    match serde_json::to_vec(content) {
-        Ok(body) => Response::new(Body::whole(body)),
-        Err(err) => {
-            log::error!(what = what; "cannot be serialised and is not served: {err}");
-            Refusal::not_run(Reason::NoOwner).response()
+    async fn respond<G>(&self, page: Result<Page, Refusal>) -> Response<Body<G>> {
+        match page {
+            Ok(page) => page.response(),
+            Err(refusal) => refusal.response(),
         }
     }
 }
--- a/crates/proxy/src/suspects.rs
+++ b/crates/proxy/src/suspects.rs
@@ -244,6 +244,15 @@
         self.lock().quarantine.records().copied().collect()
     }
 
+    /// Returns the records of fingerprints above `after` in their order, or all of them,
+    /// for a node that fetches them in pages.
+    pub fn records_after(&self, after: Option<Fingerprint>) -> Vec<CrashRecord> {
+        let mut records = self.records();
+        records.retain(|record| after.is_none_or(|after| record.fingerprint > after));
+        records.sort_unstable_by_key(|record| record.fingerprint);
+        records
+    }
+
     /// Returns a number by which nodes find out that their records differ; 0 without
     /// records.
     pub fn digest(&self) -> u64 {
--- a/crates/ranges/src/maps.rs
+++ b/crates/ranges/src/maps.rs
@@ -225,23 +225,21 @@
             .collect()
     }
 
-    /// Returns updates of all sections that differ from those of a node with these
-    /// epochs.
-    pub fn updates_since(
-        &self,
-        service: &str,
-        epochs: &[Option<u64>],
-    ) -> Vec<(SectionIndex, SectionUpdate)> {
+    /// Returns updates of all sections that are newer than those of a node with these
+    /// epochs. Each is made when it is taken, since a response may have room for a few.
+    pub fn updates_since<'a>(
+        &'a self,
+        service: &'a str,
+        epochs: &'a [Option<u64>],
+    ) -> impl Iterator<Item = (SectionIndex, SectionUpdate)> + 'a {
         let own_epochs = self.epochs(service).into_iter().enumerate();
-        own_epochs
-            .filter_map(|(section, own_epoch)| {
-                let epoch = epochs.get(section).copied().flatten();
-                // No epoch is less than any.
-                let is_newer = own_epoch > epoch;
-                let update = || self.update_since(service, section, epoch);
-                Some((section, is_newer.then(update)??))
-            })
-            .collect()
+        own_epochs.filter_map(move |(section, own_epoch)| {
+            let epoch = epochs.get(section).copied().flatten();
+            // No epoch is less than any.
+            let is_newer = own_epoch > epoch;
+            let update = || self.update_since(service, section, epoch);
+            Some((section, is_newer.then(update)??))
+        })
     }
 
     /// Returns the map of a service; sections that were not received yet are
--- a/crates/router/src/catch_up.rs
+++ b/crates/router/src/catch_up.rs
@@ -4,7 +4,7 @@
 use crate::{Router, crash_news, map_news};
 use ibiscove_mesh::Member;
 use ibiscove_mesh::heartbeat::Content;
-use ibiscove_proxy::peer_api;
+use ibiscove_proxy::peer_api::{self, FetchError};
 use ibiscove_ranges::Grantee;
 use ibiscove_store::Table;
 use ibiscove_types::{BootClock, Clock, ServiceName};
@@ -81,16 +81,13 @@
         if !inner.suspects.begin_comparison(digest) {
             return;
         }
-        match peer_api::fetch_suspects(&inner.peers, &inner.clock, peer.gate).await {
-            Ok(records) => {
-                let now = inner.clock.now();
-                inner.suspects.merge(records, &peer.name, now);
-            }
-            Err(err) => {
-                inner.suspects.forget_comparison();
-                log::warn!(peer = &*peer.name;
-                    "what a peer knows of crashes was not fetched: {err}");
-            }
+        let (suspects, name) = (&inner.suspects, &peer.name);
+        let fetching =
+            peer_api::fetch_suspects(&inner.peers, &inner.clock, peer.gate, suspects, name);
+        if let Err(err) = fetching.await {
+            suspects.forget_comparison();
+            log::log!(level(&err), peer = &**name;
+                "what a peer knows of crashes was not fetched: {err}");
         }
     }
 
@@ -132,13 +129,22 @@
         match result {
             Ok(()) => log::debug!(service = &*service; "range map taken from a peer"),
             Err(err) => {
-                log::warn!(peer = &*peer.name, service = &*service;
+                log::log!(level(&err), peer = &*peer.name, service = &*service;
                     "a newer range map was not fetched: {err}");
             }
         }
     }
 }
 
+/// Returns the level at which a failed fetch is logged: busy peers are expected whenever
+/// many nodes are behind.
+fn level(err: &FetchError) -> log::Level {
+    match err {
+        FetchError::Busy => log::Level::Debug,
+        _ => log::Level::Warn,
+    }
+}
+
 /// Longest delay before newer sections of a range map are fetched. Meanwhile most
 /// arrive as news, and the members that lack them do not all ask at once.
 const MAX_MAP_FETCH_DELAY: Duration = Duration::from_millis(120);
