A node limits the rate at which it sends maps and crash records

Cause: nothing bounded what a node sends to those that are behind, and all of them may ask the same node within 120 ms.

Change: PeerServer reserves each such response in its TransferPacing, waits up to 200 ms, and otherwise responds 503 not-run, reason overloaded, with the time after which to retry.

--- a/crates/proxy/src/peer_api.rs
+++ b/crates/proxy/src/peer_api.rs
@@ -8,6 +8,7 @@
 use crate::relay::RelayedResponse;
 use crate::routes::ConfigCell;
 use crate::suspects::Suspects;
+use crate::transfer_pacing::TransferPacing;
 use crate::transit::TransitBySender;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
@@ -53,6 +54,8 @@
     pub body_budget: BodyBudget,
     /// How long requests wait on their way.
     pub transit: TransitBySender,
+    /// Limit on the rate of what is sent to nodes that have older states.
+    pub pacing: TransferPacing,
 }
 
 impl<K: KeyOwnership, C: Clock + BootClock> PeerServer<K, C> {
@@ -155,11 +158,21 @@
         self.respond(page).await
     }
 
+    /// Responds with a page at the rate of this node's transfers.
     async fn respond<G>(&self, page: Result<Page, Refusal>) -> Response<Body<G>> {
-        match page {
-            Ok(page) => page.response(),
-            Err(refusal) => refusal.response(),
+        let page = match page {
+            Ok(page) => page,
+            Err(refusal) => return refusal.response(),
+        };
+        match self.pacing.reserve(page.body.len(), self.clock.now()) {
+            Ok(wait) => self.clock.sleep(wait).await,
+            Err(busy) => {
+                metrics::counter!("ibiscove_transfers_refused_total").increment(1);
+                let refusal = Refusal::not_run(Reason::Overloaded);
+                return refusal.with_retry_after(busy.retry_after).response();
+            }
         }
+        page.response()
     }
 }
 
--- a/crates/proxy/tests/fetches.rs
+++ b/crates/proxy/tests/fetches.rs
@@ -308,3 +308,41 @@
         assert_eq!(records.len(), MAX_RECORDS);
     });
 }
+
+/// Guards against nodes that are behind and take the whole link of the peer that they
+/// all ask at once.
+#[test]
+fn a_peer_that_many_ask_refuses_most_and_serves_the_others() {
+    smol::block_on(async {
+        let sent = large_maps();
+        let peer = serve(sent.clone(), suspects()).await;
+        let asking: Vec<_> = (0..40)
+            .map(|_| {
+                smol::spawn(async move {
+                    let maps = RangeMaps::default();
+                    let result = fetch_map(&pool(), &SystemClock, peer, &service(), &maps).await;
+                    (result, known_sections(&maps))
+                })
+            })
+            .collect();
+        let (mut whole, mut busy, mut sections) = (0, 0, 0);
+        let start = Instant::now();
+        for asked in asking {
+            let (result, known) = asked.await;
+            sections += known;
+            match result {
+                Ok(()) => whole += 1,
+                Err(FetchError::Busy) => busy += 1,
+                Err(err) => panic!("{err}"),
+            }
+        }
+        println!(
+            "{whole} maps, {busy} busy, {sections} sections in {:?}",
+            start.elapsed()
+        );
+        assert!(whole > 0 && busy > 20, "{whole} maps, {busy} busy");
+        let bytes = whole_response(&sent).len() * sections / SECTION_COUNT;
+        let allowed = 500_000.0 * start.elapsed().as_secs_f64() + 200_000.0;
+        assert!((bytes as f64) < allowed, "{bytes} of {allowed} bytes");
+    });
+}
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -8,6 +8,7 @@
 use ibiscove_proxy::gate::KeyOwnership;
 use ibiscove_proxy::peer_api::PeerServer;
 use ibiscove_proxy::suspects::Suspects;
+use ibiscove_proxy::transfer_pacing::TransferPacing;
 use ibiscove_proxy::transit::TransitBySender;
 use ibiscove_proxy::{ConfigCell, Gate, GateSettings, HeaderNames, LocalUpstream};
 use ibiscove_ranges::RangeMaps;
@@ -69,6 +70,7 @@
         clock: SystemClock,
         body_budget: budget,
         transit: TransitBySender::default(),
+        pacing: TransferPacing::default(),
     });
     let handle = move |req: Request<Incoming>| {
         let server = Arc::clone(&server);
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -34,6 +34,7 @@
 use ibiscove_proxy::panics::respond_despite_panic;
 use ibiscove_proxy::peer_api::PeerServer;
 use ibiscove_proxy::suspects::Suspects;
+use ibiscove_proxy::transfer_pacing::TransferPacing;
 use ibiscove_proxy::transit::TransitBySender;
 use ibiscove_proxy::{
     Announcement, ConfigCell, Entry, Gate, HeaderNames, LocalUpstream, RouteTable,
@@ -255,6 +256,7 @@
             clock: inner.clock.clone(),
             body_budget: inner.body_budget.clone(),
             transit: TransitBySender::default(),
+            pacing: TransferPacing::default(),
         });
         let serve_peers = inner
             .peer_server
