--- a/crates/proxy/src/headers.rs
+++ b/crates/proxy/src/headers.rs
@@ -25,6 +25,9 @@
 /// On a node's response: `1` if it is a page that more follow. Nodes without pages
 /// respond with everything at once, and without this header.
 pub const MORE_PAGES: HeaderName = HeaderName::from_static("ibiscove-more-pages");
+/// On a refusal between nodes: where the gate's node refused, see
+/// [`crate::refusal::Place`].
+pub const REFUSAL_PLACE: HeaderName = HeaderName::from_static("ibiscove-refusal-place");
 
 /// Names of the headers that a deployment may choose.
 #[derive(Clone, Debug)]
@@ -98,6 +101,7 @@
         UPSTREAM_NOTICE,
         CRASH_RECORD,
         RETRY_AFTER_MS,
+        REFUSAL_PLACE,
     ] {
         headers.remove(name);
     }
--- a/crates/proxy/src/peer_api.rs
+++ b/crates/proxy/src/peer_api.rs
@@ -1,17 +1,19 @@
 //! The HTTP interface between nodes: forwarded requests, and configurations and
 //! range maps for nodes that have older ones.
 
+use crate::config_transfer::{self, CHUNKS_PATH, CONFIG_PATH, Unserved};
 use crate::forward::RequestMetadata;
 use crate::gate::{Gate, KeyOwnership, OutboundRequest, Permit};
 use crate::headers::{self, GATE_LOAD, OUTCOME};
-use crate::refusal::Refusal;
+use crate::refusal::{Place, Refusal};
 use crate::relay::RelayedResponse;
 use crate::routes::ConfigCell;
 use crate::suspects::Suspects;
 use crate::transfer_pacing::TransferPacing;
 use crate::transit::TransitBySender;
+use bytes::Bytes;
 use hyper::body::Incoming;
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use ibiscove_http::Body;
 use ibiscove_http::body::{BodyBudget, read_within_budget};
 use ibiscove_ranges::RangeMaps;
@@ -22,10 +24,9 @@
 mod fetch;
 mod page;
 
-pub use fetch::{FetchError, fetch_config, fetch_map, fetch_suspects};
+pub(crate) use fetch::fetch;
+pub use fetch::{FetchError, fetch_map, fetch_suspects};
 
-/// Path under which a node serves its configuration.
-const CONFIG_PATH: &str = "/_ibiscove/config";
 /// Path under which a node serves its range maps. A service's name follows, and
 /// as the query the epochs of the requesting node's sections.
 const RANGES_PATH: &str = "/_ibiscove/ranges/";
@@ -62,19 +63,21 @@
     /// Responds to a request of another node.
     pub async fn handle(&self, req: Request<Incoming>) -> RelayedResponse<Permit<K, C>> {
         let path = req.uri().path();
+        let query = req.uri().query();
         if path == CONFIG_PATH {
-            return match self.config.text() {
-                Some(text) => Response::new(Body::whole(text)),
-                None => Refusal::not_run(Reason::NoConfiguration).response(),
-            };
+            return respond_config(config_transfer::respond(&self.config, query));
+        }
+        if path == CHUNKS_PATH {
+            let query = query.unwrap_or_default();
+            return respond_config(config_transfer::respond_chunks(&self.config, query));
         }
         if let Some(service) = path.strip_prefix(RANGES_PATH) {
-            let epochs = parse_epochs(req.uri().query().unwrap_or_default());
+            let epochs = parse_epochs(query.unwrap_or_default());
             let updates = self.maps.updates_since(service, &epochs);
             return self.respond_page("range map", updates).await;
         }
         if path == SUSPECTS_PATH {
-            return self.crash_records(req.uri().query()).await;
+            return self.crash_records(query).await;
         }
         let mut metadata = RequestMetadata::read(req.headers(), self.clock.now());
         if let Some(metadata) = &mut metadata {
@@ -87,7 +90,7 @@
                 response.headers_mut().insert(OUTCOME, ran);
                 response
             }
-            Err(refusal) => refusal.response(),
+            Err(refusal) => refusal.response_to_node(),
         };
         let load = self.gate.load();
         response
@@ -119,14 +122,14 @@
         req: Request<Incoming>,
     ) -> Result<RelayedResponse<Permit<K, C>>, Refusal> {
         let (head, body) = req.into_parts();
-        let bad_header = Refusal::not_run(Reason::BadHeader);
+        let bad_header = Refusal::not_run(Reason::BadHeader).at(Place::PeerMetadata);
         let metadata = metadata.ok_or(bad_header)?;
         let path_and_query = head.uri.path_and_query().cloned().ok_or(bad_header)?;
         let mut forwarded_headers = head.headers;
         headers::remove_hop_by_hop(&mut forwarded_headers);
         headers::remove_internode(&mut forwarded_headers);
         let read = read_within_budget(body, MAX_BODY_BYTES, &self.body_budget).await;
-        let (body, _reservation) = read.map_err(Refusal::of_body)?;
+        let (body, _reservation) = read.map_err(|err| Refusal::of_body(err).at(Place::PeerBody))?;
         let outbound = OutboundRequest {
             method: head.method,
             path_and_query,
@@ -176,6 +179,19 @@
     }
 }
 
+/// Responds to another node with what it asks for of the configuration.
+fn respond_config<G>(body: Result<Bytes, Unserved>) -> Response<Body<G>> {
+    match body {
+        Ok(body) => Response::new(Body::whole(body)),
+        Err(Unserved::NoConfiguration) => Refusal::not_run(Reason::NoConfiguration).response(),
+        Err(Unserved::NoSuchChunks) => {
+            let mut response = Response::new(Body::whole(Bytes::new()));
+            *response.status_mut() = StatusCode::NOT_FOUND;
+            response
+        }
+    }
+}
+
 /// Separates the epochs of sections in a query; an empty text stands for a
 /// section that the node does not have.
 const EPOCH_SEPARATOR: char = ',';
--- a/crates/proxy/src/peer_api/fetch.rs
+++ b/crates/proxy/src/peer_api/fetch.rs
@@ -1,19 +1,22 @@
 //! Fetching of newer configurations, range maps and crash records from other nodes.
 
-use super::{AFTER_QUERY, CONFIG_PATH, EPOCH_SEPARATOR, RANGES_PATH, SUSPECTS_PATH};
+use super::{AFTER_QUERY, EPOCH_SEPARATOR, RANGES_PATH, SUSPECTS_PATH};
 use crate::gate::OutboundRequest;
 use crate::headers::MORE_PAGES;
+use crate::refusal::Refusal;
 use crate::suspects::Suspects;
 use bytes::Bytes;
+use hyper::Method;
 use hyper::http::uri::PathAndQuery;
-use hyper::{Method, StatusCode};
+use ibiscove_chunks::ChunkError;
 use ibiscove_http::body::{ReadBytes, ReadError, next_data};
 use ibiscove_http::{Exchange, Pool, SendError};
+use ibiscove_io::{Transfer, TransferLimits};
 use ibiscove_ranges::RangeMaps;
 use ibiscove_ranges::map::SectionIndex;
 use ibiscove_ranges::maps::SectionUpdate;
 use ibiscove_routing::quarantine::CrashRecord;
-use ibiscove_types::{Clock, ServiceName, format_fingerprint};
+use ibiscove_types::{Clock, Reason, ServiceName, format_fingerprint};
 use smol::future::FutureExt;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -31,8 +34,11 @@
 /// Slowest rate in bytes a second at which a transfer goes on: what is left to each of
 /// two transfers on a link of 10 Mbit/s of which requests use all but 3 %.
 const MIN_RATE: u32 = 16_000;
-/// Time that a transfer may take beyond that of its bytes at [`MIN_RATE`]: two silences.
-const TRANSFER_GRACE: Duration = Duration::from_millis(1_600);
+/// Limits on the rest of a transfer after the head of its first response.
+const LIMITS: TransferLimits = TransferLimits {
+    silence: MAX_SILENCE,
+    min_rate: MIN_RATE,
+};
 /// Idle time up to which a connection is reused, as long as a fetch may hold it silent.
 const MAX_IDLE: Duration = MAX_SILENCE;
 
@@ -54,28 +60,41 @@
     /// The service's name is not valid in a path.
     #[error("the service name {0} is not valid in a path")]
     InvalidServiceName(ServiceName),
+    /// A path is not valid.
+    #[error("the path {0} is not valid")]
+    InvalidPath(String),
+    /// The response ends within a chunk.
+    #[error("the response ends within a chunk")]
+    Truncated,
+    /// A chunk is damaged, or the text that the chunks make.
+    #[error(transparent)]
+    Chunk(#[from] ChunkError),
     /// The peer makes too many transfers at present.
     #[error("the peer is busy with other transfers")]
-    Busy,
-    /// The peer sent nothing for [`MAX_SILENCE`].
+    Busy {
+        /// Time after which it is likely to accept one.
+        retry_after: Duration,
+    },
+    /// The peer went silent, or sent too slowly.
     #[error("the peer did not respond in time")]
     TimedOut,
-    /// The peer sent less than [`MIN_RATE`] allows.
-    #[error("the peer sends too slowly")]
-    TooSlow,
 }
 
-/// Fetches the source text of a peer's configuration.
-pub async fn fetch_config(
-    pool: &Pool,
-    clock: &impl Clock,
-    peer: SocketAddr,
-) -> Result<Bytes, FetchError> {
-    let mut transfer = Transfer::begin(pool, clock, peer);
-    let page = transfer
-        .fetch(PathAndQuery::from_static(CONFIG_PATH))
-        .await?;
-    Ok(page.body)
+impl FetchError {
+    /// Returns the kind of the error, as a label of metrics.
+    pub fn cause(&self) -> &'static str {
+        match self {
+            Self::Send(_) => "not-reached",
+            Self::Read(_) => "broken-off",
+            Self::Status(_) => "status",
+            Self::Malformed(_) => "malformed",
+            Self::InvalidServiceName(_) => "service-name",
+            Self::InvalidPath(_) => "path",
+            Self::Truncated | Self::Chunk(_) => "chunk",
+            Self::Busy { .. } => "busy",
+            Self::TimedOut => "timed-out",
+        }
+    }
 }
 
 /// Fetches the sections of a service's range map of which a peer has a newer
@@ -88,7 +107,7 @@
     service: &ServiceName,
     maps: &RangeMaps,
 ) -> Result<(), FetchError> {
-    let mut transfer = Transfer::begin(pool, clock, peer);
+    let mut transfer = PeerTransfer::begin(pool, clock, peer);
     let mut unusable = BTreeSet::new();
     for _ in 0..MAX_PAGES {
         let mut epochs = maps.epochs(service);
@@ -126,12 +145,12 @@
     suspects: &Suspects,
     source: &str,
 ) -> Result<(), FetchError> {
-    let mut transfer = Transfer::begin(pool, clock, peer);
+    let mut transfer = PeerTransfer::begin(pool, clock, peer);
     let mut after = None;
     for _ in 0..MAX_PAGES {
         let text = after.map(format_fingerprint).unwrap_or_default();
-        let path = PathAndQuery::try_from(format!("{SUSPECTS_PATH}?{AFTER_QUERY}{text}"))
-            .expect("a fingerprint is valid in a query");
+        let path = format!("{SUSPECTS_PATH}?{AFTER_QUERY}{text}");
+        let path = path.parse().map_err(|_| FetchError::InvalidPath(path))?;
         let page = transfer.fetch(path).await?;
         let records: Vec<CrashRecord> = serde_json::from_slice(&page.body)?;
         let last = records.iter().map(|record| record.fingerprint).max();
@@ -144,6 +163,17 @@
     Ok(())
 }
 
+/// Fetches a response of a peer that is not in pages.
+pub(crate) async fn fetch(
+    pool: &Pool,
+    clock: &impl Clock,
+    peer: SocketAddr,
+    path: PathAndQuery,
+) -> Result<Bytes, FetchError> {
+    let page = PeerTransfer::begin(pool, clock, peer).fetch(path).await?;
+    Ok(page.body)
+}
+
 /// A response of a peer.
 struct FetchedPage {
     body: Bytes,
@@ -153,22 +183,23 @@
 /// A transfer from a peer in one or more pages. Its time is limited by the bytes that
 /// have arrived, so that a slow link is not given up while it delivers, and a peer that
 /// hardly sends does not hold up the node.
-struct Transfer<'a, C> {
+struct PeerTransfer<'a, C> {
     pool: &'a Pool,
     clock: &'a C,
     peer: SocketAddr,
     began: Instant,
-    received: usize,
+    /// What has arrived; none before the first head.
+    progress: Option<Transfer>,
 }
 
-impl<'a, C: Clock> Transfer<'a, C> {
+impl<'a, C: Clock> PeerTransfer<'a, C> {
     fn begin(pool: &'a Pool, clock: &'a C, peer: SocketAddr) -> Self {
         Self {
             pool,
             clock,
             peer,
             began: clock.now(),
-            received: 0,
+            progress: None,
         }
     }
 
@@ -186,7 +217,9 @@
             connection,
             ..
         } = self.within_limits(sending).await??;
+        self.record(0);
         let status = response.status();
+        let refusal = Refusal::from_response(&response);
         let has_more = response.headers().contains_key(MORE_PAGES);
         let mut body = response.into_body();
         let mut read = ReadBytes::default();
@@ -195,7 +228,7 @@
             .await?
             .map_err(ReadError::from)?
         {
-            self.received += data.len();
+            self.record(data.len());
             read.push(data);
             if read.len() > MAX_FETCHED_BYTES {
                 let limit = MAX_FETCHED_BYTES;
@@ -203,8 +236,10 @@
             }
         }
         connection.return_to_pool();
-        match status {
-            StatusCode::SERVICE_UNAVAILABLE => Err(FetchError::Busy),
+        match refusal {
+            Some(refusal) if refusal.reason == Reason::Overloaded => Err(FetchError::Busy {
+                retry_after: refusal.retry_after,
+            }),
             _ if !status.is_success() => Err(FetchError::Status(status.as_u16())),
             _ => Ok(FetchedPage {
                 body: read.into_bytes(),
@@ -213,17 +248,25 @@
         }
     }
 
+    /// Records that a head or bytes of a body have arrived.
+    fn record(&mut self, bytes: usize) {
+        let now = self.clock.now();
+        let progress = self
+            .progress
+            .get_or_insert_with(|| Transfer::new(LIMITS, now));
+        progress.record(bytes, now);
+    }
+
     /// Waits for the next bytes within the limits on silence and on slowness.
     async fn within_limits<T>(&self, next: impl Future<Output = T>) -> Result<T, FetchError> {
-        let at_min_rate = Duration::from_secs_f64(self.received as f64 / f64::from(MIN_RATE));
-        let latest = self.began + TRANSFER_GRACE + at_min_rate;
-        let left = latest.saturating_duration_since(self.clock.now());
+        let before_head = self.began + MAX_SILENCE;
+        let deadline = self
+            .progress
+            .map_or(before_head, |progress| progress.deadline());
         let timeout = async {
-            self.clock.sleep(left.min(MAX_SILENCE)).await;
-            Err(match left < MAX_SILENCE {
-                true => FetchError::TooSlow,
-                false => FetchError::TimedOut,
-            })
+            let left = deadline.saturating_duration_since(self.clock.now());
+            self.clock.sleep(left).await;
+            Err(FetchError::TimedOut)
         };
         async { Ok(next.await) }.or(timeout).await
     }
--- a/crates/proxy/tests/fetches.rs
+++ b/crates/proxy/tests/fetches.rs
@@ -332,7 +332,7 @@
             sections += known;
             match result {
                 Ok(()) => whole += 1,
-                Err(FetchError::Busy) => busy += 1,
+                Err(FetchError::Busy { .. }) => busy += 1,
                 Err(err) => panic!("{err}"),
             }
         }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -29,6 +29,7 @@
 use ibiscove_mesh::evacuations::EvacuationNews;
 use ibiscove_mesh::heartbeat::News;
 use ibiscove_mesh::{Members, Upstream, followers, heartbeat};
+use ibiscove_proxy::config_transfer::ConfigDownload;
 use ibiscove_proxy::entry::{EntryDependencies, NodeIdentity};
 use ibiscove_proxy::local_upstream::AnnouncementEffect;
 use ibiscove_proxy::panics::respond_despite_panic;
@@ -37,7 +38,7 @@
 use ibiscove_proxy::transfer_pacing::TransferPacing;
 use ibiscove_proxy::transit::TransitBySender;
 use ibiscove_proxy::{
-    Announcement, ConfigCell, Entry, Gate, HeaderNames, LocalUpstream, RouteTable,
+    Announcement, ConfigCell, ConfigLag, Entry, Gate, HeaderNames, LocalUpstream, RouteTable,
 };
 use ibiscove_ranges::{
     ControllerDependencies, Grantee, HoldList, HoldReport, RangeController, RangeMaps,
@@ -92,6 +93,7 @@
     clock: C,
     parse_config: ParseConfig,
     config: ConfigCell,
+    config_lag: ConfigLag,
     members: Members,
     maps: RangeMaps,
     local_upstream: LocalUpstream,
@@ -118,6 +120,9 @@
     evacuation_enforcement: Mutex<()>,
     /// Configurations and maps that are being fetched from other nodes.
     active_fetches: catch_up::ActiveFetches,
+    /// The newer configuration that is being fetched.
+    config_download: ConfigDownload,
+    rejected_config: catch_up::RejectedConfig,
     /// Whether the node is shutting down: not ready for callers, and its ranges
     /// move to other nodes.
     is_shutting_down: AtomicBool,
@@ -143,6 +148,7 @@
         let mesh = bind_udp("heartbeats", settings.addrs.heartbeats).await?;
         let heartbeat_due = Arc::new(Event::new());
         let config = ConfigCell::default();
+        let config_lag = ConfigLag::default();
         let members = Members::new(settings.heartbeat_interval);
         let maps = RangeMaps::default();
         let local_upstream = LocalUpstream::new(
@@ -179,6 +185,7 @@
             },
             clock: clock.clone(),
             config: config.clone(),
+            config_lag: config_lag.clone(),
             members: members.clone(),
             maps: maps.clone(),
             local_upstream: local_upstream.clone(),
@@ -198,6 +205,7 @@
                 clock,
                 parse_config,
                 config,
+                config_lag,
                 members,
                 maps,
                 local_upstream,
@@ -215,6 +223,8 @@
                 is_evacuation_unspread: AtomicBool::new(false),
                 evacuation_enforcement: Mutex::default(),
                 active_fetches: catch_up::ActiveFetches::default(),
+                config_download: ConfigDownload::default(),
+                rejected_config: catch_up::RejectedConfig::default(),
                 is_shutting_down: AtomicBool::new(false),
                 is_withdrawn: AtomicBool::new(false),
                 settings,
@@ -234,6 +244,7 @@
         let entry = inner.entry.clone();
         let early_entry = inner.entry.clone();
         let caller_settings = ServerSettings {
+            clients: "callers",
             pipeline: inner.settings.pipeline,
             ..ServerSettings::default()
         };
@@ -258,16 +269,17 @@
             transit: TransitBySender::default(),
             pacing: TransferPacing::default(),
         });
-        let serve_peers = inner
-            .peer_server
-            .clone()
-            .run(peers, ServerSettings::default(), {
-                move |req| {
-                    let handler = Arc::clone(&peer_handler);
-                    let work = Box::pin(async move { handler.handle(req).await });
-                    respond_despite_panic(work, "gate")
-                }
-            });
+        let peer_settings = ServerSettings {
+            clients: "nodes",
+            ..ServerSettings::default()
+        };
+        let serve_peers = inner.peer_server.clone().run(peers, peer_settings, {
+            move |req| {
+                let handler = Arc::clone(&peer_handler);
+                let work = Box::pin(async move { handler.handle(req).await });
+                respond_despite_panic(work, "gate")
+            }
+        });
         smol::spawn(serve_callers).detach();
         smol::spawn(serve_peers).detach();
         let addresses = Introductions::default();
@@ -367,6 +379,10 @@
         };
         let is_applied = self.inner.config.replace_if_newer(table, text);
         if is_applied {
+            self.update_config_lag();
+            self.inner
+                .config_download
+                .forget(self.inner.config.version());
             self.apply_cold_start();
             self.start_range_controller();
             self.inner.spread_due.notify(usize::MAX);
@@ -374,6 +390,14 @@
         is_applied
     }
 
+    /// Compares the configuration in force with the newest one that is known.
+    pub(crate) fn update_config_lag(&self) {
+        let inner = &self.inner;
+        inner
+            .config_lag
+            .update(inner.config.version(), inner.clock.now());
+    }
+
     /// Applies an announcement of the local upstream, with the ranges that it
     /// reports. Returns what it is to hold, if grants travel in the answers.
     ///
