--- a/crates/proxy/src/peer_api.rs
+++ b/crates/proxy/src/peer_api.rs
@@ -9,6 +9,7 @@
 use crate::relay::RelayedResponse;
 use crate::routes::ConfigCell;
 use crate::suspects::Suspects;
+use crate::transfer_pacing::TransferPacing;
 use crate::transit::TransitBySender;
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -16,10 +17,12 @@
 use ibiscove_http::Body;
 use ibiscove_http::body::{BodyBudget, read_within_budget};
 use ibiscove_ranges::RangeMaps;
-use ibiscove_types::{BootClock, Clock, Outcome, Reason};
+use ibiscove_types::{BootClock, Clock, Outcome, Reason, parse_fingerprint};
+use page::Page;
 use serde::Serialize;
 
 mod fetch;
+mod page;
 
 pub(crate) use fetch::fetch;
 pub use fetch::{FetchError, fetch_map, fetch_suspects};
@@ -30,6 +33,9 @@
 /// Path under which a node serves what it knows of requests beside which upstreams
 /// have crashed.
 const SUSPECTS_PATH: &str = "/_ibiscove/suspects";
+/// Query for the page of crash records after a fingerprint, or for the first page if
+/// none follows.
+const AFTER_QUERY: &str = "after=";
 /// Largest body of a request of another node.
 const MAX_BODY_BYTES: usize = 64 << 20;
 
@@ -49,6 +55,8 @@
     pub body_budget: BodyBudget,
     /// How long requests wait on their way.
     pub transit: TransitBySender,
+    /// Limit on the rate of what is sent to nodes that have older states.
+    pub pacing: TransferPacing,
 }
 
 impl<K: KeyOwnership, C: Clock + BootClock> PeerServer<K, C> {
@@ -64,10 +72,12 @@
             return respond_config(config_transfer::respond_chunks(&self.config, query));
         }
         if let Some(service) = path.strip_prefix(RANGES_PATH) {
-            return self.map_updates(service, req.uri().query().unwrap_or_default());
+            let epochs = parse_epochs(query.unwrap_or_default());
+            let updates = self.maps.updates_since(service, &epochs);
+            return self.respond_page("range map", updates).await;
         }
         if path == SUSPECTS_PATH {
-            return respond_json("suspects", &self.suspects.records());
+            return self.crash_records(query).await;
         }
         let mut metadata = RequestMetadata::read(req.headers(), self.clock.now());
         if let Some(metadata) = &mut metadata {
@@ -136,11 +146,43 @@
         self.gate.run(&metadata, &outbound).await
     }
 
-    /// Responds with the sections of a service's map that are newer than the
-    /// epochs in the query.
-    fn map_updates<G>(&self, service: &str, query: &str) -> Response<Body<G>> {
-        let updates = self.maps.updates_since(service, &parse_epochs(query));
-        respond_json("range map", &updates)
+    /// Responds with crash records: a page of them, or all to a node that does not ask
+    /// for a page and would not ask for the next one.
+    async fn crash_records<G>(&self, query: Option<&str>) -> Response<Body<G>> {
+        let after = query.and_then(|query| query.strip_prefix(AFTER_QUERY));
+        let records = self
+            .suspects
+            .records_after(after.and_then(parse_fingerprint));
+        match after {
+            Some(_) => self.respond_page("suspects", records.into_iter()).await,
+            None => self.respond(Page::of_all("suspects", &records)).await,
+        }
+    }
+
+    async fn respond_page<G, T: Serialize>(
+        &self,
+        what: &str,
+        items: impl Iterator<Item = T>,
+    ) -> Response<Body<G>> {
+        let page = Page::of_first(what, items);
+        self.respond(page).await
+    }
+
+    /// Responds with a page at the rate of this node's transfers.
+    async fn respond<G>(&self, page: Result<Page, Refusal>) -> Response<Body<G>> {
+        let page = match page {
+            Ok(page) => page,
+            Err(refusal) => return refusal.response(),
+        };
+        match self.pacing.reserve(page.body.len(), self.clock.now()) {
+            Ok(wait) => self.clock.sleep(wait).await,
+            Err(busy) => {
+                metrics::counter!("ibiscove_transfers_refused_total").increment(1);
+                let refusal = Refusal::not_run(Reason::Overloaded);
+                return refusal.with_retry_after(busy.retry_after).response();
+            }
+        }
+        page.response()
     }
 }
 
@@ -157,17 +199,6 @@
     }
 }
 
-/// Responds to another node with `content`, named by `what` in the log.
-fn respond_json<G>(what: &str, content: &impl Serialize) -> Response<Body<G>> {
-    match serde_json::to_vec(content) {
-        Ok(body) => Response::new(Body::whole(body)),
-        Err(err) => {
-            log::error!(what = what; "cannot be serialised and is not served: {err}");
-            Refusal::not_run(Reason::NoOwner).response()
-        }
-    }
-}
-
 /// Separates the epochs of sections in a query; an empty text stands for a
 /// section that the node does not have.
 const EPOCH_SEPARATOR: char = ',';
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -35,6 +35,7 @@
 use ibiscove_proxy::panics::respond_despite_panic;
 use ibiscove_proxy::peer_api::PeerServer;
 use ibiscove_proxy::suspects::Suspects;
+use ibiscove_proxy::transfer_pacing::TransferPacing;
 use ibiscove_proxy::transit::TransitBySender;
 use ibiscove_proxy::{
     Announcement, ConfigCell, ConfigLag, Entry, Gate, HeaderNames, LocalUpstream, RouteTable,
@@ -266,6 +267,7 @@
             clock: inner.clock.clone(),
             body_budget: inner.body_budget.clone(),
             transit: TransitBySender::default(),
+            pacing: TransferPacing::default(),
         });
         let peer_settings = ServerSettings {
             clients: "nodes",
