A holder limits the rate at which it sends configurations

Cause: a holder sent to all that asked at once; callers' responses waited behind on its link. callers_are_not_slowed_while_a_large_configuration_spreads failed with the chunks alone (longest 287 ms, bound 250 ms) and passes now. Change: manifests and chunks take part in the limit of maps and crash records; a busy peer is left for another after 20 ms.

--- a/crates/proxy/src/peer_api.rs
+++ b/crates/proxy/src/peer_api.rs
@@ -65,11 +65,14 @@
         let path = req.uri().path();
         let query = req.uri().query();
         if path == CONFIG_PATH {
-            return respond_config(config_transfer::respond(&self.config, query));
+            return self
+                .respond_config(config_transfer::respond(&self.config, query))
+                .await;
         }
         if path == CHUNKS_PATH {
             let query = query.unwrap_or_default();
-            return respond_config(config_transfer::respond_chunks(&self.config, query));
+            let chunks = config_transfer::respond_chunks(&self.config, query);
+            return self.respond_config(chunks).await;
         }
         if let Some(service) = path.strip_prefix(RANGES_PATH) {
             let epochs = parse_epochs(query.unwrap_or_default());
@@ -174,27 +177,43 @@
             Ok(page) => page,
             Err(refusal) => return refusal.response(),
         };
-        match self.pacing.reserve(page.body.len(), self.clock.now()) {
-            Ok(wait) => self.clock.sleep(wait).await,
-            Err(busy) => {
-                metrics::counter!("ibiscove_transfers_refused_total").increment(1);
-                let refusal = Refusal::not_run(Reason::Overloaded);
-                return refusal.with_retry_after(busy.retry_after).response();
+        match self.pace(page.body.len()).await {
+            Ok(()) => page.response(),
+            Err(busy) => busy.response(),
+        }
+    }
+
+    /// Responds with what another node asks for of the configuration, at the same rate.
+    async fn respond_config<G>(&self, body: Result<Bytes, Unserved>) -> Response<Body<G>> {
+        let body = match body {
+            Ok(body) => body,
+            Err(Unserved::NoConfiguration) => {
+                return Refusal::not_run(Reason::NoConfiguration).response();
+            }
+            Err(Unserved::NoSuchChunks) => {
+                let mut response = Response::new(Body::whole(Bytes::new()));
+                *response.status_mut() = StatusCode::NOT_FOUND;
+                return response;
             }
+        };
+        match self.pace(body.len()).await {
+            Ok(()) => Response::new(Body::whole(body)),
+            Err(busy) => busy.response(),
         }
-        page.response()
     }
-}
 
-/// Responds to another node with what it asks for of the configuration.
-fn respond_config<G>(body: Result<Bytes, Unserved>) -> Response<Body<G>> {
-    match body {
-        Ok(body) => Response::new(Body::whole(body)),
-        Err(Unserved::NoConfiguration) => Refusal::not_run(Reason::NoConfiguration).response(),
-        Err(Unserved::NoSuchChunks) => {
-            let mut response = Response::new(Body::whole(Bytes::new()));
-            *response.status_mut() = StatusCode::NOT_FOUND;
-            response
+    /// Waits until a transfer of `bytes` may start; refuses it if that takes too long.
+    async fn pace(&self, bytes: usize) -> Result<(), Refusal> {
+        match self.pacing.reserve(bytes, self.clock.now()) {
+            Ok(wait) => {
+                self.clock.sleep(wait).await;
+                Ok(())
+            }
+            Err(busy) => {
+                metrics::counter!("ibiscove_transfers_refused_total").increment(1);
+                let refusal = Refusal::not_run(Reason::Overloaded);
+                Err(refusal.with_retry_after(busy.retry_after))
+            }
         }
     }
 }
--- a/crates/router/src/catch_up.rs
+++ b/crates/router/src/catch_up.rs
@@ -149,7 +149,11 @@
             Ok(None) => {}
             Err(err) => {
                 inner.config_lag.record_failure(err.cause());
-                log::warn!(peer = &*peer.name; "a newer configuration was not fetched: {err}");
+                log::log!(level(&err), peer = &*peer.name;
+                    "a newer configuration was not fetched: {err}");
+                if let FetchError::Busy { .. } = err {
+                    inner.clock.sleep(BUSY_DELAY).await;
+                }
             }
         }
     }
@@ -188,6 +192,10 @@
 /// arrive as news, and the members that lack them do not all ask at once.
 const MAX_MAP_FETCH_DELAY: Duration = Duration::from_millis(120);
 
+/// Time after which another peer is asked when one was busy. Heartbeats of others arrive
+/// faster than that, and a holder has room again after one request of 16 KB, 32 ms.
+const BUSY_DELAY: Duration = Duration::from_millis(20);
+
 /// Identifies the configuration among the active fetches; no service has this
 /// name.
 const CONFIG_FETCH_NAME: &str = "";
