3xx, 4xx and 503 of an upstream need its proof, as successes do

Cause: proof was asked of 2xx only. An answer of 3xx or 4xx that echoes the request's id and has no proof was passed on as the upstream's, so bytes spoilt on their way or by a fault could blame the caller, who doesn't return after them. 408, 429 and 503 promise besides that the request has not run, which an upstream says by another header of its own.

Change, where upstreams send proof: answers below 500 and 503 need it; without it the outcome is unknown (502), and an idempotent request is made again within the budget.

Test: answer_without_proof_is_not_passed_on_as_the_upstreams; before, its cases 302, 404, 408, 429 and 503 failed with these statuses, the five others passed.

--- a/crates/proxy/src/gate/exchange.rs
+++ b/crates/proxy/src/gate/exchange.rs
@@ -90,13 +90,14 @@
             self.record_upstream_refusal(exchange.response.status());
             return Err(Refusal::not_run(Reason::UpstreamRefused));
         }
-        let is_success = exchange.response.status().is_success();
+        let needs_proof = needs_proof(exchange.response.status());
         let is_proven = names
             .proof
             .as_ref()
             .is_none_or(|proof| from.contains_key(proof));
-        if !echoes || (is_success && !is_proven) {
-            log::warn!(request = &*metadata.request_id, echoes, is_proven, is_refusal;
+        if !echoes || (needs_proof && !is_proven) {
+            let status = exchange.response.status().as_u16();
+            log::warn!(request = &*metadata.request_id, status, echoes, is_proven, is_refusal;
                 "an answer of the upstream is not that of its request");
             return Err(Refusal::unknown(Reason::UpstreamLost));
         }
@@ -131,6 +132,14 @@
     }
 }
 
+/// Returns whether an answer with this status is passed on only if its upstream has proven
+/// that it is its own. The caller relies on it: a success is the result, 3xx and 4xx ask for
+/// another request, and 503 and some of 4xx promise that the request has not run. The other
+/// failures say no more than 502 does.
+fn needs_proof(status: StatusCode) -> bool {
+    !status.is_server_error() || status == StatusCode::SERVICE_UNAVAILABLE
+}
+
 fn echoes_request(metadata: &RequestMetadata, from: &HeaderMap, names: &HeaderNames) -> bool {
     headers::text(from, &names.request_id) == Some(&*metadata.request_id)
 }
--- a/crates/router/tests/upstream_answers.rs
+++ b/crates/router/tests/upstream_answers.rs
@@ -2,8 +2,13 @@
 
 mod support;
 
+use hyper::header::HeaderName;
 use ibiscove_http::{Pool, PoolSettings};
+use ibiscove_proxy::HeaderNames;
+use ibiscove_ranges::HoldReport;
+use ibiscove_router::Router;
 use ibiscove_store::MemoryPlatform;
+use ibiscove_types::SystemClock;
 use smol::io::AsyncWriteExt;
 use smol::net::TcpStream;
 use std::net::SocketAddr;
@@ -11,7 +16,10 @@
 use std::sync::atomic::{AtomicI64, AtomicU32, Ordering};
 use std::time::Duration;
 use support::raw::{answer, get_on_new_connection, read_head, serve_raw};
-use support::{CountingUpstream, send_request, start_node_beside, wait_until_served};
+use support::{
+    CountingUpstream, announcement, node_settings, parse_config, send_request, start_node_beside,
+    wait_until_served,
+};
 use yare::parameterized;
 
 /// Starts a node beside an upstream at `addr` and waits until it serves.
@@ -245,3 +253,54 @@
         assert_eq!(get_on_new_connection(entry, "/signs/long").await, Some(200));
     });
 }
+
+/// Guards against an answer that the upstream has not given itself, passed on as its own: one
+/// of 3xx and 4xx blames the caller, and 429 and 503 promise that the request has not run.
+#[parameterized(
+    redirect = { 131, 302, false, (502, "unknown") },
+    not_found = { 132, 404, false, (502, "unknown") },
+    timeout = { 133, 408, false, (502, "unknown") },
+    too_many = { 134, 429, false, (502, "unknown") },
+    unavailable = { 135, 503, false, (502, "unknown") },
+    success = { 136, 200, false, (502, "unknown") },
+    proven_not_found = { 137, 404, true, (404, "done") },
+    proven_unavailable = { 138, 503, true, (503, "done") },
+    error = { 139, 500, false, (500, "done") },
+    late = { 140, 504, false, (504, "done") },
+)]
+fn answer_without_proof_is_not_passed_on_as_the_upstreams(
+    number: u8,
+    status: u16,
+    is_proven: bool,
+    expected: (u16, &str),
+) {
+    smol::block_on(async {
+        let addr = serve_raw(move |mut stream| async move {
+            while let Some(head) = read_head(&mut stream).await {
+                let proof = if is_proven { "X-Proof: 1\r\n" } else { "" };
+                let answer = answer(&head.request_id);
+                let answer = answer.replace("200 OK\r\n", &format!("{status} X\r\n{proof}"));
+                if stream.write_all(answer.as_bytes()).await.is_err() {
+                    return;
+                }
+            }
+        })
+        .await;
+        let settings = node_settings(number, "gallery", addr);
+        let entry = settings.addrs.callers;
+        let names = HeaderNames {
+            proof: Some(HeaderName::from_static("x-proof")),
+            ..HeaderNames::default()
+        };
+        let (table, grantee) = (MemoryPlatform::default(), CountingUpstream::default());
+        let started = Router::start(settings, names, table, grantee, SystemClock, parse_config);
+        let router = started.await.expect("the addresses are free");
+        assert!(router.apply_config("7".into()));
+        let announced = announcement(number, &"gallery".into(), 1, 1);
+        router.apply_announcement(announced, &HoldReport::default());
+        let pool = Pool::new(PoolSettings::default());
+        let (status, body) = send_request(&pool, entry, "/orders/1").await;
+        assert_eq!(status, expected.0, "{body}");
+        assert!(body.contains(expected.1), "{body}");
+    });
+}
