A gate has no limit on bodies besides that of the entry

Cause: the limit of the configuration applies at the entry; the gate's node had a constant of 64 MiB, so a body between the two was refused with 413 there.

Change: the gate's node reads what the entry has let pass, within its memory for bodies.

Test: gate_has_no_limit_on_bodies_besides_that_of_the_entry; before: 413.

--- a/crates/proxy/src/peer_api.rs
+++ b/crates/proxy/src/peer_api.rs
@@ -33,8 +33,6 @@
 /// Path under which a node serves what it knows of requests beside which upstreams
 /// have crashed.
 const SUSPECTS_PATH: &str = "/_ibiscove/suspects";
-/// Largest body of a request of another node.
-const MAX_BODY_BYTES: usize = 64 << 20;
 /// Largest response of another node: a configuration and the sections of a map are rows
 /// of the store, of tens of KiB each.
 const MAX_FETCHED_BYTES: usize = 4 << 20;
@@ -131,7 +129,8 @@
         let mut forwarded_headers = head.headers;
         headers::remove_hop_by_hop(&mut forwarded_headers);
         headers::remove_internode(&mut forwarded_headers);
-        let read = read_within_budget(body, MAX_BODY_BYTES, &self.body_budget).await;
+        // The entry has applied the limit of its configuration; the budget bounds memory.
+        let read = read_within_budget(body, usize::MAX, &self.body_budget).await;
         let (body, _reservation) = read.map_err(|err| Refusal::of_body(err).at(Place::PeerBody))?;
         let outbound = OutboundRequest {
             method: head.method,
--- a/crates/router/tests/client_errors.rs
+++ b/crates/router/tests/client_errors.rs
@@ -3,9 +3,10 @@
 mod support;
 
 use hyper::header::{HeaderName, HeaderValue};
-use hyper::{HeaderMap, Request, Response, StatusCode};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use ibiscove_http::{Body, Pool, PoolSettings, Server, ServerSettings};
 use ibiscove_proxy::HeaderNames;
+use ibiscove_proxy::forward::RequestMetadata;
 use ibiscove_proxy::routes::{Route, RouteTable, Share};
 use ibiscove_ranges::HoldReport;
 use ibiscove_router::Router;
@@ -16,7 +17,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicI64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use support::raw::exchange_raw;
 use support::{
     CountingUpstream, TestRouter, addr, announcement, node_settings, parse_config, presence,
@@ -295,3 +296,50 @@
         }
     });
 }
+
+/// Guards against a 413 of the gate's node for a body that the configuration allows: it had
+/// a limit of its own, of 64 MiB.
+#[test]
+fn gate_has_no_limit_on_bodies_besides_that_of_the_entry() {
+    smol::block_on(async {
+        let mut settings = node_settings(116, "gallery", addr(116, 7_402));
+        settings.max_body_memory = 160 << 20;
+        let gate = settings.addrs.peers;
+        let (upstream, born_ms) = (CountingUpstream::default(), Arc::new(AtomicI64::new(0)));
+        let table = MemoryPlatform::default();
+        let (router, _) = start_node_with(116, settings, &table, upstream, born_ms).await;
+        assert!(router.apply_config("8".into()));
+        let metadata = RequestMetadata {
+            service: "gallery".into(),
+            route: "signs".into(),
+            request_id: "1".into(),
+            key: None,
+            idempotent: true,
+            priority: 1,
+            target_latency: Duration::from_secs(10),
+            target_deadline: Instant::now() + Duration::from_secs(10),
+            deadline: Instant::now() + Duration::from_secs(10),
+            may_miss_target: true,
+            caller_service: None,
+            entry_node: "entry".into(),
+            upstream_notice: None,
+            fingerprint: None,
+            crash_record: None,
+            sent: None,
+        };
+        let mut req = Request::new(Body::whole(vec![0; 65 << 20]));
+        *req.method_mut() = Method::POST;
+        *req.uri_mut() = "/signs/1".parse().expect("it is valid");
+        let written = metadata.write(req.headers_mut(), Instant::now());
+        written.expect("it is serialised");
+        let pool = Pool::new(PoolSettings::default());
+        let sent = pool.send(gate, req, Duration::from_secs(1)).await;
+        let response = sent.expect("the node responds").response;
+        let reason = response.headers().get("ibiscove-reason");
+        assert_eq!(response.status(), 503);
+        assert!(
+            reason.is_some_and(|reason| reason == "no-upstream"),
+            "{reason:?}"
+        );
+    });
+}
