A request within the entry's limits on heads is read by the gate's node

Cause: the entry adds two fields to a request that it forwards, and the listener for nodes had the limits of the one for callers: a caller's request with 100 fields was refused there by hyper, which the entry took for a lost answer.

Change: the listener for nodes reads 8 fields and 16 KiB more.

Test: head_within_the_limits_of_the_entry_reaches_the_upstream; before, its case many_fields got 502, peer-lost. The case long_fields passed before too.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -46,6 +46,8 @@
     /// Largest request head, in bytes. HTTP libraries commonly allow 8 to 64
     /// KiB.
     pub max_head_bytes: usize,
+    /// Most fields of a request head; hyper's own limit by default.
+    pub max_fields: usize,
     /// Timeout of receiving a head, including the idle time before it. Longer
     /// than common idle timeouts of clients, so that they close first.
     pub head_timeout: Duration,
@@ -61,6 +63,7 @@
         Self {
             clients: "others",
             max_head_bytes: 64 << 10,
+            max_fields: 100,
             head_timeout: Duration::from_secs(75),
             write_timeout: Duration::from_secs(30),
             pipeline: PipelineSettings::default(),
@@ -333,6 +336,7 @@
         .timer(SmolTimer)
         .header_read_timeout(settings.head_timeout)
         .max_buf_size(settings.max_head_bytes)
+        .max_headers(settings.max_fields)
         .serve_connection(FuturesIo::new(io), service);
     let mut connection = std::pin::pin!(connection);
     if !own.shared.is_draining.load(Ordering::Acquire) {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -263,6 +263,8 @@
         });
         let peer_settings = ServerSettings {
             clients: "nodes",
+            max_head_bytes: caller_settings.max_head_bytes + ADDED_HEAD_BYTES,
+            max_fields: caller_settings.max_fields + ADDED_FIELDS,
             ..ServerSettings::default()
         };
         let serve_peers = inner.peer_server.clone().run(peers, peer_settings, {
@@ -563,6 +565,12 @@
 /// wait a second for an acknowledgement.
 const STORE_WITHDRAWAL_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Bytes by which the head of a forwarded request may be longer than the caller's: the
+/// metadata of a request, whose names the configuration bounds.
+const ADDED_HEAD_BYTES: usize = 16 << 10;
+/// Fields that it may have in addition: the metadata and an id, and those of later versions.
+const ADDED_FIELDS: usize = 8;
+
 /// Time for which changes of range maps are coalesced before they are passed on.
 const NEWS_COALESCE_DELAY: Duration = Duration::from_millis(5);
 
--- a/crates/router/tests/client_errors.rs
+++ b/crates/router/tests/client_errors.rs
@@ -13,12 +13,13 @@
 use ibiscove_store::MemoryPlatform;
 use ibiscove_types::SystemClock;
 use ibiscove_wire::messages::UpstreamPresence;
+use smol::io::AsyncWriteExt;
 use smol::net::{TcpListener, UdpSocket};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicI64, Ordering};
 use std::time::{Duration, Instant};
-use support::raw::exchange_raw;
+use support::raw::{answer, exchange_raw, read_head, serve_raw};
 use support::{
     CountingUpstream, TestRouter, addr, announcement, node_settings, parse_config, presence,
     send_heartbeat, send_request, start_node, start_node_with, wait_until_served,
@@ -343,3 +344,45 @@
         );
     });
 }
+
+/// Guards against a lost answer to a request whose head is within the limits of the entry: what
+/// the entry adds to it made it longer than the gate's node reads.
+#[parameterized(
+    many_fields = { 117, 100, 1 },
+    long_fields = { 119, 60, 1_115 },
+)]
+fn head_within_the_limits_of_the_entry_reaches_the_upstream(
+    number: u8,
+    fields: usize,
+    length: usize,
+) {
+    smol::block_on(async {
+        let table = MemoryPlatform::default();
+        let (_router, callers, _) = start_entry(number, &table).await;
+        let upstream = serve_raw(|mut stream| async move {
+            while let Some(head) = read_head(&mut stream).await {
+                if stream
+                    .write_all(answer(&head.request_id).as_bytes())
+                    .await
+                    .is_err()
+                {
+                    return;
+                }
+            }
+        })
+        .await;
+        let settings = node_settings(number + 1, "gallery", upstream);
+        let (grantee, born_ms) = (CountingUpstream::default(), Arc::new(AtomicI64::new(1)));
+        let started = start_node_with(number + 1, settings, &table, grantee, born_ms);
+        assert!(started.await.0.apply_config("8".into()));
+        wait_until_served(&Pool::new(PoolSettings::default()), callers, "/signs/1").await;
+        // One more field names the host.
+        let more: String = (2..fields)
+            .map(|field| format!("x-{field}: {}\r\n", "v".repeat(length)))
+            .collect();
+        let head =
+            format!("GET /signs/1 HTTP/1.1\r\nhost: a.example\r\nconnection: close\r\n{more}\r\n");
+        let answer = exchange_raw(callers, head.as_bytes()).await;
+        assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+    });
+}
