Test: requests behind one that is refused early are not misread

Looked for a way by which a proper request could end in hyper's 400 or in Next::Mismatch: a body that nobody reads because its request is refused by its head, short, long and in chunks, between pipelined requests. None found: after a short body the requests behind it are answered, after a long one the connection is closed.

--- a/crates/router/tests/client_errors.rs
+++ b/crates/router/tests/client_errors.rs
@@ -386,3 +386,58 @@
         assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
     });
 }
+
+/// Guards against a 400 for requests behind one that was refused before its body was read:
+/// bytes of that body must not be taken for the next request.
+#[parameterized(
+    short = { 121, "POST /nowhere/1", 10, false },
+    long = { 122, "POST /nowhere/1", 300_000, false },
+    chunked = { 123, "POST /nowhere/1", 10, true },
+    long_chunked = { 124, "POST /nowhere/1", 300_000, true },
+    without_key = { 125, "POST /pay/1", 300_000, false },
+)]
+fn requests_behind_one_that_is_refused_early_are_not_misread(
+    number: u8,
+    first: &str,
+    length: usize,
+    is_chunked: bool,
+) {
+    smol::block_on(async {
+        let (gallery, _, callers) = start_node(number, "gallery", &MemoryPlatform::default()).await;
+        assert!(gallery.apply_config("8".into()));
+        let pool = Pool::new(PoolSettings::default());
+        wait_until_served(&pool, callers, "/signs/1").await;
+        let body = "b".repeat(length);
+        let (field, body) = match is_chunked {
+            true => {
+                let chunks = format!("{length:x}\r\n{body}\r\n0\r\n\r\n");
+                ("Transfer-Encoding: chunked".to_owned(), chunks)
+            }
+            false => (format!("Content-Length: {length}"), body),
+        };
+        let before = "GET /signs/1 HTTP/1.1\r\nHost: a.example\r\n\r\n";
+        let after = "GET /signs/2 HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n\r\n";
+        let refused = format!("{first} HTTP/1.1\r\nHost: a.example\r\n{field}\r\n\r\n{body}");
+        let bytes = format!("{before}{before}{refused}{before}{after}");
+        let answers = exchange_raw(callers, bytes.as_bytes()).await;
+        let statuses: Vec<&str> = answers
+            .split("HTTP/1.1 ")
+            .skip(1)
+            .map(|answer| &answer[..3])
+            .collect();
+        let expected = if first.contains("/pay/") {
+            "400"
+        } else {
+            "404"
+        };
+        assert_eq!(
+            statuses.get(..3),
+            Some(&["200", "200", expected][..]),
+            "{answers}"
+        );
+        assert!(
+            statuses[3..].iter().all(|status| *status == "200"),
+            "{statuses:?}"
+        );
+    });
+}
