--- a/crates/proxy/src/peer_api.rs
+++ b/crates/proxy/src/peer_api.rs
@@ -36,8 +36,6 @@
 /// Query for the page of crash records after a fingerprint, or for the first page if
 /// none follows.
 const AFTER_QUERY: &str = "after=";
-/// Largest body of a request of another node.
-const MAX_BODY_BYTES: usize = 64 << 20;
 
 /// Serves requests of other nodes.
 pub struct PeerServer<K, C> {
@@ -138,7 +136,8 @@
         let mut forwarded_headers = head.headers;
         headers::remove_hop_by_hop(&mut forwarded_headers);
         headers::remove_internode(&mut forwarded_headers);
-        let read = read_within_budget(body, MAX_BODY_BYTES, &self.body_budget).await;
+        // The entry has applied the limit of its configuration; the budget bounds memory.
+        let read = read_within_budget(body, usize::MAX, &self.body_budget).await;
         let (body, _reservation) = read.map_err(|err| Refusal::of_body(err).at(Place::PeerBody))?;
         let outbound = OutboundRequest {
             method: head.method,
