A node fetches newer maps from a peer of its own data centre if there is one

Cause: a node asks the member whose heartbeat first tells of a newer map, mostly the one that changed it. All nodes of another data centre ask that one over the links between them.

Change: a fetch from another data centre waits 120 ms longer, and asks a member of this one that has announced the map meanwhile. A second fetch does not ask such a member that is being asked. Crash records keep the former order, as a comparison belongs to one pair of digests.

Result: cargo test -p ibiscove-router: all passed, map_peers in 7 of 7 runs. On the former catch_up.rs a_map_is_fetched_within_the_data_centre_if_a_peer_there_has_it failed: the far peer was asked once, the near one never.

--- a/crates/router/src/catch_up.rs
+++ b/crates/router/src/catch_up.rs
@@ -8,7 +8,7 @@
 use ibiscove_proxy::peer_api::{self, FetchError};
 use ibiscove_ranges::Grantee;
 use ibiscove_store::Table;
-use ibiscove_types::{BootClock, Clock, ServiceName};
+use ibiscove_types::{BootClock, Clock, NodeName, ServiceName};
 use std::collections::BTreeMap;
 use std::collections::btree_map::Entry;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -60,17 +60,26 @@
             smol::spawn(fetch).detach();
         }
         for (service, epoch) in &member.maps {
-            if *epoch > self.inner.maps.epoch(service)
-                && let Some(guard) = self.inner.active_fetches.begin(service, now)
-            {
-                let fetch = self
-                    .clone()
-                    .fetch_map(member.clone(), service.clone(), guard);
-                smol::spawn(fetch).detach();
+            if *epoch <= self.inner.maps.epoch(service) {
+                continue;
+            }
+            match self.inner.active_fetches.begin(service, now) {
+                Some(guard) => {
+                    let fetch = self
+                        .clone()
+                        .fetch_map(member.clone(), service.clone(), guard);
+                    smol::spawn(fetch).detach();
+                }
+                None if self.is_near(member) => self.inner.active_fetches.offer(service, member),
+                None => {}
             }
         }
     }
 
+    fn is_near(&self, member: &Member) -> bool {
+        member.data_centre == self.inner.settings.data_centre
+    }
+
     /// Fetches what a member knows of crashes if that differs from what this node
     /// knows.
     fn compare_suspects(&self, member: &Member, digest: u64, now: Instant) {
@@ -154,10 +163,14 @@
         }
     }
 
-    async fn fetch_map(self, peer: Member, service: ServiceName, _guard: FetchGuard) {
+    async fn fetch_map(self, peer: Member, service: ServiceName, guard: FetchGuard) {
         let inner = &self.inner;
-        let delay = MAX_MAP_FETCH_DELAY.mul_f64(fastrand::f64());
+        let mut delay = MAX_MAP_FETCH_DELAY.mul_f64(fastrand::f64());
+        if !self.is_near(&peer) {
+            delay += NEAR_PEER_DELAY;
+        }
         inner.clock.sleep(delay).await;
+        let peer = guard.choose_peer(peer);
         let epoch = peer.maps.iter().find(|(name, _)| *name == service);
         if epoch.is_none_or(|(_, epoch)| *epoch <= inner.maps.epoch(&service)) {
             return;
@@ -188,6 +201,10 @@
 /// arrive as news, and the members that lack them do not all ask at once.
 const MAX_MAP_FETCH_DELAY: Duration = Duration::from_millis(120);
 
+/// Time for which a fetch from another data centre waits for a peer of this one, which
+/// has most likely been told in the same time as this node: as long as near peers wait.
+const NEAR_PEER_DELAY: Duration = MAX_MAP_FETCH_DELAY;
+
 /// Identifies the configuration among the active fetches; no service has this
 /// name.
 const CONFIG_FETCH_NAME: &str = "";
@@ -209,6 +226,10 @@
 struct FetchesOfItem {
     count: usize,
     last_began: Instant,
+    /// A peer of this data centre that has announced the item meanwhile.
+    offer: Option<Member>,
+    /// Peers that these fetches have asked.
+    asked: Vec<NodeName>,
 }
 
 /// An active fetch. Dropping it allows the next one of the same item.
@@ -226,6 +247,8 @@
                 vacant.insert(FetchesOfItem {
                     count: 1,
                     last_began: now,
+                    offer: None,
+                    asked: Vec::new(),
                 });
             }
             Entry::Occupied(mut occupied) => {
@@ -245,11 +268,34 @@
         })
     }
 
+    /// Lets a fetch of the item that has not asked a peer yet ask this one.
+    fn offer(&self, item: &str, peer: &Member) {
+        if let Some(fetches) = self.lock().get_mut(item)
+            && !fetches.asked.contains(&peer.name)
+        {
+            fetches.offer.get_or_insert_with(|| peer.clone());
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, BTreeMap<String, FetchesOfItem>> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+impl FetchGuard {
+    /// Returns the peer to ask: the one of this data centre that was offered, otherwise
+    /// the one whose heartbeat began the fetch.
+    fn choose_peer(&self, announcing: Member) -> Member {
+        let mut active = self.active.lock();
+        let Some(fetches) = active.get_mut(&self.item) else {
+            return announcing;
+        };
+        let peer = fetches.offer.take().unwrap_or(announcing);
+        fetches.asked.push(Arc::clone(&peer.name));
+        peer
+    }
+}
+
 impl Drop for FetchGuard {
     fn drop(&mut self) {
         let mut active = self.active.lock();
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -288,7 +288,12 @@
 
 /// Tells a node by a heartbeat that a peer at `gate` has version 8 of the configuration.
 pub async fn send_heartbeat(socket: &UdpSocket, node: SocketAddr, name: &str, gate: SocketAddr) {
-    let presence = Presence {
+    send_presence(socket, node, &presence(name, gate)).await;
+}
+
+/// Returns the presence of a peer at `gate` that has version 8 of the configuration.
+pub fn presence(name: &str, gate: SocketAddr) -> Presence {
+    Presence {
         node: name.to_owned(),
         incarnation: 1,
         sequence: 1,
@@ -305,8 +310,11 @@
         lease_version: 0,
         evacuations_version: None,
         evacuations: None,
-    };
-    let datagram = ibiscove_wire::encode(&presence).expect("the fields are valid");
+    }
+}
+
+pub async fn send_presence(socket: &UdpSocket, node: SocketAddr, presence: &Presence) {
+    let datagram = ibiscove_wire::encode(presence).expect("the fields are valid");
     let sent = socket.send_to(&datagram, node).await;
     sent.expect("the node's address can be reached");
 }
