--- a/crates/proxy/src/peer_api.rs
+++ b/crates/proxy/src/peer_api.rs
@@ -36,6 +36,10 @@
 /// Query for the page of crash records after a fingerprint, or for the first page if
 /// none follows.
 const AFTER_QUERY: &str = "after=";
+/// Longest response that isn't paced. Changes of range maps and small changes of the
+/// configuration stay prompt while a large configuration spreads; one takes 3 ms of a link
+/// of 10 Mbit/s.
+const MAX_UNPACED_BYTES: usize = 4 << 10;
 
 /// Serves requests of other nodes.
 pub struct PeerServer<K, C> {
@@ -203,6 +207,9 @@
 
     /// Waits until a transfer of `bytes` may start; refuses it if that takes too long.
     async fn pace(&self, bytes: usize) -> Result<(), Refusal> {
+        if bytes <= MAX_UNPACED_BYTES {
+            return Ok(());
+        }
         match self.pacing.reserve(bytes, self.clock.now()) {
             Ok(wait) => {
                 self.clock.sleep(wait).await;
