--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -271,7 +271,7 @@
             reason: Reason::ConfigurationBehind,
             ..refusal
         };
-        behind.with_retry_after(CONFIGURATION_BEHIND_RETRY_AFTER)
+        behind.with_retry_after(CONFIGURATION_BEHIND_RETRY_AFTER.mul_f64(jitter()))
     }
 
     fn deps(&self) -> &EntryDependencies<K, C> {
@@ -451,14 +451,11 @@
         let settings = &self.deps().settings;
         let now = self.deps().clock.now();
         let remaining = plan.metadata.deadline.saturating_duration_since(now);
-        // Random jitter keeps callers that were refused together from retrying
-        // together.
-        let jitter = 0.75 + fastrand::f64() / 2.0;
         let wait = match refusal.reason {
             Reason::Moving | Reason::NotOwner => MOVING_RETRY_AFTER,
             _ => refusal.retry_after,
         };
-        let wait = wait.max(settings.min_retry_after).mul_f64(jitter);
+        let wait = wait.max(settings.min_retry_after).mul_f64(jitter());
         let retry_after = match refusal.reason {
             // Its caller can't be served before its deadline.
             Reason::Quarantined => refusal.retry_after,
@@ -481,6 +478,12 @@
 /// Maximum number of gates that may refuse a request before its caller is refused.
 const MAX_REFUSALS: u32 = 3;
 
+/// Returns a random factor that keeps callers that were refused together from retrying
+/// together.
+fn jitter() -> f64 {
+    0.75 + fastrand::f64() / 2.0
+}
+
 fn count_retry(reason: Reason) {
     metrics::counter!("ibiscove_retries_total", "reason" => reason.as_str()).increment(1);
 }
