A download that has stalled gives way, and a slow peer is left

Found by review: a node that had the manifest of a version whose only holder was gone refused the older version of all others; a text that was replaced under the same number was asked for for ever; two slow peers could hold both fetches for a whole configuration; a failed fetch was repeated at the next heartbeat; the version that was announced, not the one that could not be parsed, was not fetched again.

Now a download without a new chunk for 1 s, or with a damaged one, is replaced by what a peer offers, and keeps its chunks; while a newer version arrives, older ones are not asked for; a peer that takes 0.4 s for a response is left for the next; three peers may be asked at a time; failed fetches wait 20 ms.

Bounds in bytes of narrow_links.rs are relative to compressed texts; the test of callers is named by what it measures, the links.

--- a/crates/proxy/src/config_transfer.rs
+++ b/crates/proxy/src/config_transfer.rs
@@ -39,6 +39,14 @@
 /// Time after which chunks are asked of another peer, too.
 const CHUNK_HEDGE_DELAY: Duration = Duration::from_millis(250);
 
+/// Time without a new chunk after which a download has stalled: nobody may have its version
+/// any more, or another text under the same number. Longer than a chunk is awaited from one
+/// peer, shorter than two peers in a row take to be given up.
+const STALL_TIME: Duration = Duration::from_secs(1);
+/// Time for one response after which its peer is left for another. At the sender's limit
+/// it waits for up to 200 ms, and takes some 15 ms of a link of 10 Mbit/s.
+const SLOW_RESPONSE: Duration = Duration::from_millis(400);
+
 /// Why a node does not serve what it is asked for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Unserved {
@@ -95,11 +103,35 @@
     /// When each chunk was asked for that has not arrived. Indices are those of the
     /// assembly's manifest.
     requested: HashMap<usize, Instant>,
+    /// When the last manifest or chunk arrived; none if a chunk was not what the manifest
+    /// describes.
+    last_progress: Option<Instant>,
     /// Whether the text was put together. Its chunks are kept for the next version until
     /// this one is in force.
     is_taken: bool,
 }
 
+impl Download {
+    fn version(&self) -> Option<u64> {
+        let assembly = self.assembly.as_ref();
+        assembly.map(|assembly| assembly.manifest().version)
+    }
+
+    fn has_stalled(&self, now: Instant) -> bool {
+        self.last_progress
+            .is_none_or(|at| now.saturating_duration_since(at) >= STALL_TIME)
+    }
+}
+
+/// The text of a configuration that was fetched.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FetchedConfig {
+    /// The text.
+    pub text: Bytes,
+    /// Its version, if the text is known to be that one, undamaged.
+    pub verified_version: Option<u64>,
+}
+
 /// The chunks of one request. Dropping it lets others ask for those that have not arrived.
 struct Batch<'a> {
     download: &'a ConfigDownload,
@@ -108,22 +140,34 @@
 }
 
 impl ConfigDownload {
+    /// Returns whether a newer version than `version` is arriving. An older one is worth
+    /// its bytes only once that has stalled.
+    pub fn is_newer_arriving(&self, version: u64, now: Instant) -> bool {
+        let download = self.lock();
+        !download.is_taken
+            && download.version().is_some_and(|newer| newer > version)
+            && !download.has_stalled(now)
+    }
+
     /// Returns whether the chunks of a version can be asked for.
-    fn has_manifest(&self, version: u64) -> bool {
+    fn has_manifest(&self, version: u64, now: Instant) -> bool {
         let download = self.lock();
-        let assembly = download.assembly.as_ref();
-        assembly.is_some_and(|assembly| assembly.manifest().version == version)
+        download.version() == Some(version) && (download.is_taken || !download.has_stalled(now))
     }
 
-    /// Begins with a version unless a newer one has begun.
-    fn begin(&self, manifest: Manifest, earlier: Option<&Bytes>) {
+    /// Begins with a version, unless it has begun or a newer one is arriving.
+    fn begin(&self, manifest: Manifest, earlier: Option<&Bytes>, now: Instant) {
+        if self.is_newer_arriving(manifest.version, now) {
+            return;
+        }
         let mut download = self.lock();
+        download.last_progress = Some(now);
         let assembly = match download.assembly.take() {
-            Some(assembly) if assembly.manifest().version >= manifest.version => assembly,
-            earlier_assembly => {
+            Some(assembly) if *assembly.manifest() == manifest => assembly,
+            replaced => {
                 download.requested.clear();
                 download.is_taken = false;
-                match earlier_assembly {
+                match replaced {
                     Some(assembly) => assembly.restart(manifest, earlier),
                     None => Assembly::new(manifest, earlier),
                 }
@@ -209,22 +253,16 @@
 
 impl Batch<'_> {
     /// Adds the chunks of a response.
-    fn insert(&self, body: &[u8]) -> Result<(), FetchError> {
+    fn insert(&self, body: &[u8], now: Instant) -> Result<(), FetchError> {
         let mut download = self.download.lock();
         let current = download.assembly.as_mut();
         let Some(assembly) = current.filter(|assembly| assembly.manifest().version == self.version)
         else {
             return Ok(());
         };
-        let mut rest = body;
-        for index in &self.indices {
-            let (len, after) = rest.split_first_chunk().ok_or(FetchError::Truncated)?;
-            let len = u32::from_be_bytes(*len) as usize;
-            let (chunk, after) = after.split_at_checked(len).ok_or(FetchError::Truncated)?;
-            assembly.insert(*index, chunk)?;
-            rest = after;
-        }
-        Ok(())
+        let inserted = insert_all(assembly, &self.indices, body);
+        download.last_progress = inserted.is_ok().then_some(now);
+        inserted
     }
 
     fn path(&self) -> Result<PathAndQuery, FetchError> {
@@ -234,6 +272,18 @@
     }
 }
 
+fn insert_all(assembly: &mut Assembly, indices: &[usize], body: &[u8]) -> Result<(), FetchError> {
+    let mut rest = body;
+    for index in indices {
+        let (len, after) = rest.split_first_chunk().ok_or(FetchError::Truncated)?;
+        let len = u32::from_be_bytes(*len) as usize;
+        let (chunk, after) = after.split_at_checked(len).ok_or(FetchError::Truncated)?;
+        assembly.insert(*index, chunk)?;
+        rest = after;
+    }
+    Ok(())
+}
+
 impl Drop for Batch<'_> {
     fn drop(&mut self) {
         let mut download = self.download.lock();
@@ -248,7 +298,8 @@
 
 /// Fetches a peer's configuration, of which the peer has announced `version`, together
 /// with the fetches from other peers that share `download`. Returns the text once it is
-/// complete, from one of them.
+/// complete, from one of them. A slow peer is left after a response, for the next one that
+/// is asked.
 pub async fn fetch_config(
     pool: &Pool,
     clock: &impl Clock,
@@ -256,28 +307,39 @@
     version: u64,
     config: &ConfigCell,
     download: &ConfigDownload,
-) -> Result<Option<Bytes>, FetchError> {
+) -> Result<Option<FetchedConfig>, FetchError> {
     let mut version = version;
-    if !download.has_manifest(version) {
+    if !download.has_manifest(version, clock.now()) {
         let path = format!("{CONFIG_PATH}?{MANIFEST_QUERY}");
         let path = path.parse().map_err(|_| FetchError::InvalidPath(path))?;
         let body = fetch(pool, clock, peer, path).await?;
         let Some(manifest) = body.strip_prefix(MANIFEST_PREFIX) else {
-            return Ok(Some(body));
+            return Ok(Some(FetchedConfig {
+                text: body,
+                verified_version: None,
+            }));
         };
         let manifest: Manifest = serde_json::from_slice(manifest)?;
         if manifest.version <= config.version() {
             return Ok(None);
         }
         version = manifest.version;
-        download.begin(manifest, config.text().as_ref());
+        download.begin(manifest, config.text().as_ref(), clock.now());
     }
-    while let Some(batch) = download.next_batch(version, clock.now()) {
+    let mut is_slow = false;
+    while !is_slow && let Some(batch) = download.next_batch(version, clock.now()) {
+        let asked = clock.now();
         let body = fetch(pool, clock, peer, batch.path()?).await?;
-        batch.insert(&body)?;
+        let now = clock.now();
+        batch.insert(&body, now)?;
+        is_slow = now.saturating_duration_since(asked) >= SLOW_RESPONSE;
         metrics::counter!("ibiscove_config_chunks_fetched_total")
             .increment(batch.indices.len() as u64);
         metrics::counter!("ibiscove_config_chunk_bytes_fetched_total").increment(body.len() as u64);
     }
-    Ok(download.take_complete(version)?)
+    let text = download.take_complete(version)?;
+    Ok(text.map(|text| FetchedConfig {
+        text,
+        verified_version: Some(version),
+    }))
 }
--- a/crates/proxy/tests/fetches.rs
+++ b/crates/proxy/tests/fetches.rs
@@ -2,10 +2,12 @@
 
 mod support;
 
+use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::{Request, Response};
 use ibiscove_http::body::read_whole;
 use ibiscove_http::{Body, Exchange, Pool, PoolSettings};
+use ibiscove_proxy::ConfigCell;
 use ibiscove_proxy::headers::MORE_PAGES;
 use ibiscove_proxy::peer_api::{FetchError, fetch_map, fetch_suspects};
 use ibiscove_proxy::suspects::Suspects;
@@ -18,7 +20,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use support::{Link, listen, serve, serve_with, suspects};
+use support::{Link, listen, peer, serve_with, suspects};
 use yare::parameterized;
 
 const OWNERS: usize = 80;
@@ -30,6 +32,16 @@
     "deposits".into()
 }
 
+/// Starts a peer that serves these maps and crash records.
+async fn serve(maps: RangeMaps, suspects: Suspects) -> SocketAddr {
+    let server = Arc::new(peer(maps, suspects, ConfigCell::default()));
+    let handle = move |req: Request<Incoming>| {
+        let server = Arc::clone(&server);
+        async move { server.handle(req).await }
+    };
+    serve_with(handle).await
+}
+
 fn pool() -> Pool {
     Pool::new(PoolSettings::default())
 }
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -48,8 +48,12 @@
     (listener, addr)
 }
 
-/// Starts a peer that serves these maps and crash records.
-pub async fn serve(maps: RangeMaps, suspects: Suspects) -> SocketAddr {
+/// Returns a peer with these maps, crash records and configuration.
+pub fn peer(
+    maps: RangeMaps,
+    suspects: Suspects,
+    config: ConfigCell,
+) -> PeerServer<impl KeyOwnership, SystemClock> {
     let pool = Pool::new(PoolSettings::default());
     let budget = BodyBudget::new(1 << 20);
     let upstream = SocketAddr::from(([127, 0, 0, 1], 1));
@@ -62,21 +66,16 @@
         pool,
         budget.clone(),
     );
-    let server = Arc::new(PeerServer {
+    PeerServer {
         gate,
-        config: ConfigCell::default(),
+        config,
         maps,
         suspects,
         clock: SystemClock,
         body_budget: budget,
         transit: TransitBySender::default(),
         pacing: TransferPacing::default(),
-    });
-    let handle = move |req: Request<Incoming>| {
-        let server = Arc::clone(&server);
-        async move { server.handle(req).await }
-    };
-    serve_with(handle).await
+    }
 }
 
 /// Starts a peer that responds as `handle` does.
--- a/crates/router/src/catch_up.rs
+++ b/crates/router/src/catch_up.rs
@@ -116,7 +116,10 @@
     fn may_fetch_config(&self, member: &Member, in_force: u64, now: Instant) -> bool {
         let inner = &self.inner;
         let version = member.config_version;
-        if version <= in_force || inner.rejected_config.is(version) {
+        if version <= in_force
+            || inner.rejected_config.is(version)
+            || inner.config_download.is_newer_arriving(version, now)
+        {
             return false;
         }
         let lag = inner.config_lag.lag(in_force, now);
@@ -145,12 +148,14 @@
             &inner.config_download,
         );
         match fetched.await {
-            Ok(Some(text)) => {
-                if self.apply_config(text) {
-                    log::info!(peer = &*peer.name, version = peer.config_version;
+            Ok(Some(fetched)) => {
+                if self.apply_config(fetched.text) {
+                    log::info!(peer = &*peer.name, version = inner.config.version();
                         "configuration taken from a peer");
-                } else if inner.config.version() < peer.config_version {
-                    inner.rejected_config.set(peer.config_version);
+                } else if let Some(version) = fetched.verified_version
+                    && version > inner.config.version()
+                {
+                    inner.rejected_config.set(version);
                 }
             }
             // Another fetch completes the text, or the peer has sent what it was asked for
@@ -160,9 +165,7 @@
                 inner.config_lag.record_failure(err.cause());
                 log::log!(level(&err), peer = &*peer.name;
                     "a newer configuration was not fetched: {err}");
-                if let FetchError::Busy { .. } = err {
-                    inner.clock.sleep(BUSY_DELAY).await;
-                }
+                inner.clock.sleep(FAILED_FETCH_DELAY).await;
             }
         }
     }
@@ -205,9 +208,10 @@
 /// arrive as news, and the members that lack them do not all ask at once.
 const MAX_MAP_FETCH_DELAY: Duration = Duration::from_millis(120);
 
-/// Time after which another peer is asked when one was busy. Heartbeats of others arrive
-/// faster than that, and a holder has room again after one request of 16 KB, 32 ms.
-const BUSY_DELAY: Duration = Duration::from_millis(20);
+/// Time after which another peer is asked when one was busy or has failed. Heartbeats of
+/// others arrive faster than that, and a holder has room again after one request of 16 KB,
+/// 32 ms.
+const FAILED_FETCH_DELAY: Duration = Duration::from_millis(20);
 /// Time for which a fetch from another data centre waits for a peer of this one, which
 /// has most likely been told in the same time as this node: as long as near peers wait.
 const NEAR_PEER_DELAY: Duration = MAX_MAP_FETCH_DELAY;
@@ -221,8 +225,14 @@
 /// Time after which an item is fetched from another peer, too: a slow one must not keep
 /// a newer version from this node until the fetch times out.
 const HEDGE_DELAY: Duration = Duration::from_millis(250);
-/// Most fetches of an item at a time.
-const MAX_FETCHES: usize = 2;
+/// Most fetches of an item at a time. Those of a configuration ask for different chunks, so
+/// that a third costs nothing and two slow peers don't hold it up.
+fn max_fetches(item: &str) -> usize {
+    match item {
+        CONFIG_FETCH_NAME => 3,
+        _ => 2,
+    }
+}
 
 /// The active fetches by what they fetch, so that few are made at a time. The
 /// heartbeats of all nodes announce a newer version while it is being fetched.
@@ -262,7 +272,7 @@
                 let fetches = occupied.get_mut();
                 let has_just_begun =
                     now.saturating_duration_since(fetches.last_began) < HEDGE_DELAY;
-                if has_just_begun || fetches.count >= MAX_FETCHES {
+                if has_just_begun || fetches.count >= max_fetches(item) {
                     return None;
                 }
                 fetches.count += 1;
--- a/crates/router/tests/narrow_links.rs
+++ b/crates/router/tests/narrow_links.rs
@@ -90,7 +90,8 @@
         let sent = network.sent_by_all();
         println!("{took:?}, {sent} bytes");
         took.expect("in force everywhere in time");
-        let once_each = NODES * config.text(2).len();
+        // Compressed, the text has less than half of its length.
+        let once_each = NODES * config.text(2).len() / 2;
         assert!(sent < once_each as u64, "{sent} bytes were sent");
     });
 }
@@ -131,7 +132,7 @@
         println!("{took:?}, {sent} bytes");
         took.expect("in force everywhere in time");
         let whole = NODES * config.text(LAST).len();
-        assert!(sent < whole as u64 / 2, "{sent} bytes were sent");
+        assert!(sent < whole as u64 / 8, "{sent} bytes were sent");
     });
 }
 
@@ -215,7 +216,7 @@
         println!("{took:?}, {received} bytes");
         took.expect("in force everywhere in time");
         let whole = config.text(1).len() as u64;
-        assert!(received < whole * 9 / 8, "{received} bytes were received");
+        assert!(received < whole / 2, "{received} bytes were received");
     });
 }
 
@@ -268,7 +269,7 @@
 /// Latencies are those of the links alone: all nodes compute on one thread, on which
 /// requests wait for what each of them computes.
 #[test]
-fn callers_are_not_slowed_while_a_large_configuration_spreads() {
+fn links_stay_free_for_callers_while_a_large_configuration_spreads() {
     const UPSTREAM: NodeIndex = 1;
     let _alone = alone();
     smol::block_on(async {
