review/11: keys of an endpoint whose report is late are given to others (OWNER)

Shown: an endpoint leaves as planned, its heartbeats are 3 s late from then on, and its process ends 0.9 s after it has closed its listener and connections. The node takes the refused connection for the end and gives all keys to others: two endpoints hold a third of all keys for 0.85 to 0.89 s.

Evidence: record.txt of each run; the endpoint has released nothing, and its holds have not run out. With the heartbeats in time the keys are released before.

The stand-ins end all that they have started also after a failure.

--- a/review/stand-in-3/cluster.rs
+++ b/review/stand-in-3/cluster.rs
@@ -8,7 +8,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use std::{io, thread};
 
@@ -52,7 +52,7 @@
     host: u8,
     binary: PathBuf,
     dir: PathBuf,
-    child: Mutex<Option<Child>>,
+    child: Arc<Mutex<Option<Child>>>,
     /// Questions in a row without a 200.
     misses: AtomicU32,
 }
@@ -67,7 +67,7 @@
             host,
             binary: binary.to_owned(),
             dir: dir.to_owned(),
-            child: Mutex::new(None),
+            child: Arc::default(),
             misses: AtomicU32::new(0),
         }
     }
@@ -119,6 +119,7 @@
             .stderr(log)
             .spawn()?;
         *self.child.lock().unwrap() = Some(child);
+        Children::get().push(&self.child);
         Ok(())
     }
 
@@ -132,6 +133,9 @@
             control: self.addr(8306),
             slots: 12,
             work,
+            life: 1,
+            call_delay: Duration::ZERO,
+            clock_ahead: Duration::ZERO,
         }
     }
 
@@ -174,10 +178,7 @@
     }
 
     pub fn kill(&self) {
-        if let Some(mut child) = self.child.lock().unwrap().take() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
+        end(&self.child);
     }
 
     /// Peak resident memory of the process, in MiB.
@@ -209,9 +210,43 @@
     }
 }
 
-impl Drop for Machine {
-    fn drop(&mut self) {
-        self.kill();
+/// All processes that this program has started.
+pub struct Children {
+    children: Vec<Arc<Mutex<Option<Child>>>>,
+    has_ended: bool,
+}
+
+static CHILDREN: Mutex<Children> = Mutex::new(Children {
+    children: Vec::new(),
+    has_ended: false,
+});
+
+impl Children {
+    fn get() -> MutexGuard<'static, Self> {
+        CHILDREN.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Keeps a process in mind; ends it if all are to end.
+    fn push(&mut self, child: &Arc<Mutex<Option<Child>>>) {
+        self.children.push(Arc::clone(child));
+        if self.has_ended {
+            end(child);
+        }
+    }
+
+    /// Ends all of them, also those that are started from now on.
+    pub fn end_all() {
+        let mut all = Self::get();
+        all.has_ended = true;
+        all.children.iter().for_each(end);
+    }
+}
+
+fn end(child: &Arc<Mutex<Option<Child>>>) {
+    let mut child = child.lock().unwrap_or_else(PoisonError::into_inner);
+    if let Some(mut child) = child.take() {
+        let _ = child.kill();
+        let _ = child.wait();
     }
 }
 
--- a/review/stand-in-3/memory.rs
+++ b/review/stand-in-3/memory.rs
@@ -65,7 +65,6 @@
     print!("{out}");
     std::fs::write(record_path, out)?;
     machine.kill();
-    let _ = std::fs::remove_dir_all(&dir);
     Ok(false)
 }
 
--- a/review/stand-in-3/record.rs
+++ b/review/stand-in-3/record.rs
@@ -181,6 +181,16 @@
         inner.end_holds(endpoint, keys, now);
     }
 
+    /// Records that the process of an endpoint has ended, and with it all that it held.
+    pub fn ended_process(&self, endpoint: &str) {
+        let now = self.event(&format!("{endpoint} has ended"));
+        let mut inner = self.inner.lock().unwrap();
+        let held = inner.holds.iter_mut();
+        for hold in held.filter(|hold| hold.endpoint == endpoint) {
+            hold.until = hold.until.min(now);
+        }
+    }
+
     pub fn holds(&self) -> Vec<Hold> {
         self.inner.lock().unwrap().holds.clone()
     }
